--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,47 @@
+#include "bench/record.hpp"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdint>
+#include <fmt/core.h>
+#include <string>
+
+using namespace dragonflyroad::bench;
+
+int main(int argc, char** argv)
+{
+    CLI::App app{"Prints the measures of dragonflyroad, one record per line"};
+    bool list = false;
+    bool decisions_only = false;
+    std::string only;
+    std::uint64_t seed = 1;
+    app.add_flag("--list", list, "print the names of the benchmarks and exit");
+    app.add_flag("--decisions-only", decisions_only, "leave out benchmarks that read a real clock");
+    app.add_option("--only", only, "run only the benchmark of this name");
+    app.add_option("--seed", seed, "the first seed");
+    CLI11_PARSE(app, argc, argv);
+
+    auto& entries = registry();
+    std::sort(entries.begin(), entries.end(),
+              [](const benchmark& left, const benchmark& right) { return left.name < right.name; });
+    bool found = only.empty();
+    bool all_kept = true;
+    for (const benchmark& entry : entries) {
+        if ((!only.empty() && entry.name != only) || (decisions_only && entry.live)) {
+            continue;
+        }
+        found = true;
+        if (list) {
+            fmt::print("{}{}\n", entry.name, entry.live ? " (live)" : "");
+            continue;
+        }
+        for (const record& result : entry.run(seed)) {
+            all_kept = print(result) && all_kept;
+        }
+    }
+    if (!found) {
+        fmt::print(stderr, "no benchmark is named {}; --list prints the names\n", only);
+        return 2;
+    }
+    return all_kept ? 0 : 1;
+}
--- /dev/null
+++ b/src/core/ids.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace dragonflyroad {
+
+/// A name of one kind. The tag keeps an organisation from being passed where a service is expected.
+template<typename Tag>
+struct identifier {
+    std::string value;
+
+    identifier() = default;
+    explicit identifier(std::string text) : value(std::move(text)) {}
+
+    bool empty() const { return this->value.empty(); }
+    auto operator<=>(const identifier&) const = default;
+};
+
+/// One node process, by the name in its settings. It stays the same across restarts.
+using node_id = identifier<struct node_tag>;
+using data_centre = identifier<struct data_centre_tag>;
+using organisation_id = identifier<struct organisation_tag>;
+using service_name = identifier<struct service_tag>;
+using profile_name = identifier<struct profile_tag>;
+using route_name = identifier<struct route_tag>;
+/// An upstream, by the address that accepts its requests: "ip:port".
+using upstream_id = identifier<struct upstream_tag>;
+
+/// One run of a node process. A restarted node gets a new random value, so that promises made by or
+/// to the earlier run are not taken for its own.
+using incarnation = std::uint64_t;
+
+/// A revision of the configuration; rises by one with each accepted change. Zero means none.
+using revision_number = std::uint64_t;
+
+} // namespace dragonflyroad
+
+template<typename Tag>
+struct std::hash<dragonflyroad::identifier<Tag>> {
+    std::size_t operator()(const dragonflyroad::identifier<Tag>& id) const noexcept
+    {
+        return std::hash<std::string>{}(id.value);
+    }
+};
