--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,11 +1,12 @@
+#include "adapters/command_line.hpp"
 #include "bench/record.hpp"
 
-#include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdint>
 #include <fmt/core.h>
 #include <string>
 
+using namespace dragonflyroad;
 using namespace dragonflyroad::bench;
 
 int main(int argc, char** argv)
@@ -19,7 +20,9 @@
     app.add_flag("--decisions-only", decisions_only, "leave out benchmarks that read a real clock");
     app.add_option("--only", only, "run only the benchmark of this name");
     app.add_option("--seed", seed, "the first seed");
-    CLI11_PARSE(app, argc, argv);
+    if (const auto code = parse_command_line(app, argc, argv)) {
+        return *code;
+    }
 
     auto& entries = registry();
     std::sort(entries.begin(), entries.end(),
@@ -41,7 +44,7 @@
     }
     if (!found) {
         fmt::print(stderr, "no benchmark is named {}; --list prints the names\n", only);
-        return 2;
+        return exit_usage;
     }
     return all_kept ? 0 : 1;
 }
