Add the store client and the stand-in store server

Nodes and operators reach the platform's store over HTTP. Each call opens its own connection, is bounded by its deadline, and a write whose reply is lost is unknown; a write that was never sent is marked as such. The stand-in speaks the same protocol with versions, leases, watches, faults and call counts.

--- a/src/adapters/store.hpp
+++ b/src/adapters/store.hpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,8 +23,14 @@
     write_outcome outcome = write_outcome::unknown;
     /// The version after the write; on a conflict the version found.
     std::uint64_t version = 0;
+    /// With `unknown`: false when nothing was sent, so that the write cannot take effect. The
+    /// reason is in last_failure().
+    bool sent = true;
 };
 
+/// Largest value that the store accepts, in bytes.
+constexpr std::size_t max_store_value_bytes = 1'000'000;
+
 /// The platform's key-value service. Calls block until the deadline at most; a call that returns
 /// nothing leaves its reason in last_failure().
 class store {
--- /dev/null
+++ b/standin/store_state.cpp
@@ -0,0 +1,238 @@
+#include "standin/store_state.hpp"
+
+#include "adapters/store.hpp"
+
+#include <algorithm>
+
+namespace dragonflyroad::standin {
+namespace {
+
+const char* to_name(store_call call)
+{
+    switch (call) {
+    case store_call::read:
+        return "read";
+    case store_call::write:
+        return "write";
+    case store_call::remove:
+        return "delete";
+    case store_call::watch:
+        return "watch";
+    case store_call::lease:
+        return "lease";
+    case store_call::renew:
+        break;
+    }
+    return "renew";
+}
+
+const store_answer no_reply{false, 0, 0, ""};
+
+// condition_variable waits on system clocks; the boot clock is converted at the wait.
+std::chrono::nanoseconds left_until(time_point deadline)
+{
+    return std::max(deadline - boot_clock::now(), std::chrono::nanoseconds::zero());
+}
+
+} // namespace
+
+bool store_state::begin(lock& held, store_call call)
+{
+    ++this->counts[call];
+    if (this->fault.mode == store_mode::slow) {
+        const time_point end = boot_clock::now() + this->fault.delay;
+        while (!this->stopping && this->fault.mode == store_mode::slow && boot_clock::now() < end) {
+            this->changed.wait_for(held, left_until(end));
+        }
+    }
+    this->expire_leases();
+    if (this->stopping) {
+        return false;
+    }
+    if (this->fault.mode == store_mode::down) {
+        if (--this->fault.count == 0) {
+            this->fault = {};
+        }
+        return false;
+    }
+    return true;
+}
+
+store_answer store_state::reply_to_write(store_answer answer)
+{
+    this->changed.notify_all();
+    if (this->fault.mode != store_mode::lose_replies) {
+        return answer;
+    }
+    if (--this->fault.count == 0) {
+        this->fault = {};
+    }
+    return no_reply;
+}
+
+store_answer store_state::answer_read(const std::string& key) const
+{
+    const auto& source = this->fault.mode == store_mode::stale ? this->old_entries : this->entries;
+    const auto found = source.find(key);
+    if (found == source.end() || !found->second.exists) {
+        return {true, 404, 0, ""};
+    }
+    return {true, 200, found->second.version, found->second.bytes};
+}
+
+store_answer store_state::read(const std::string& key)
+{
+    lock held{this->mutex};
+    return this->begin(held, store_call::read) ? this->answer_read(key) : no_reply;
+}
+
+store_answer store_state::write(const std::string& key, const std::string& bytes,
+                                std::uint64_t expected_version, std::uint64_t lease_id)
+{
+    lock held{this->mutex};
+    if (!this->begin(held, store_call::write)) {
+        return no_reply;
+    }
+    if (bytes.size() > max_store_value_bytes) {
+        return {true, 413, 0, ""};
+    }
+    if (lease_id != 0 && !this->leases.contains(lease_id)) {
+        return {true, 404, 0, ""};
+    }
+    entry& target = this->entries[key];
+    const std::uint64_t current = target.exists ? target.version : 0;
+    if (current != expected_version) {
+        return this->reply_to_write({true, 409, current, ""});
+    }
+    target = {bytes, target.version + 1, true, lease_id};
+    return this->reply_to_write({true, 200, target.version, ""});
+}
+
+store_answer store_state::remove(const std::string& key, std::uint64_t expected_version)
+{
+    lock held{this->mutex};
+    if (!this->begin(held, store_call::remove)) {
+        return no_reply;
+    }
+    entry& target = this->entries[key];
+    if (!target.exists) {
+        return this->reply_to_write({true, 404, 0, ""});
+    }
+    if (target.version != expected_version) {
+        return this->reply_to_write({true, 409, target.version, ""});
+    }
+    this->remove_entry(target);
+    return this->reply_to_write({true, 200, target.version, ""});
+}
+
+store_answer store_state::watch(const std::string& key, std::uint64_t after, time_point deadline)
+{
+    lock held{this->mutex};
+    if (!this->begin(held, store_call::watch)) {
+        return no_reply;
+    }
+    while (true) {
+        if (this->stopping || this->fault.mode == store_mode::down) {
+            return no_reply;
+        }
+        store_answer answer = this->answer_read(key);
+        if (answer.version > after) {
+            return answer;
+        }
+        if (boot_clock::now() >= deadline) {
+            return {true, 304, answer.version, ""};
+        }
+        this->changed.wait_for(held, left_until(this->next_expiry(deadline)));
+        this->expire_leases();
+    }
+}
+
+store_answer store_state::grant_lease(std::chrono::milliseconds ttl)
+{
+    lock held{this->mutex};
+    if (!this->begin(held, store_call::lease)) {
+        return no_reply;
+    }
+    const std::uint64_t id = ++this->last_lease;
+    this->leases[id] = {ttl, boot_clock::now() + ttl};
+    return this->reply_to_write({true, 200, id, ""});
+}
+
+store_answer store_state::renew_lease(std::uint64_t id)
+{
+    lock held{this->mutex};
+    if (!this->begin(held, store_call::renew)) {
+        return no_reply;
+    }
+    const auto found = this->leases.find(id);
+    if (found == this->leases.end()) {
+        return {true, 404, 0, ""};
+    }
+    found->second.deadline = boot_clock::now() + found->second.ttl;
+    return this->reply_to_write({true, 200, id, ""});
+}
+
+void store_state::set_fault(const store_fault& wanted)
+{
+    const lock held{this->mutex};
+    if (wanted.mode == store_mode::stale) {
+        this->old_entries = this->entries;
+    }
+    this->fault = wanted;
+    this->changed.notify_all();
+}
+
+std::map<std::string, std::uint64_t> store_state::calls() const
+{
+    const lock held{this->mutex};
+    std::map<std::string, std::uint64_t> named;
+    for (const auto& [call, count] : this->counts) {
+        named[to_name(call)] = count;
+    }
+    return named;
+}
+
+void store_state::stop()
+{
+    const lock held{this->mutex};
+    this->stopping = true;
+    this->changed.notify_all();
+}
+
+void store_state::resume()
+{
+    const lock held{this->mutex};
+    this->stopping = false;
+}
+
+void store_state::remove_entry(entry& removed)
+{
+    removed = {"", removed.version + 1, false, 0};
+}
+
+void store_state::expire_leases()
+{
+    const time_point now = boot_clock::now();
+    for (auto found = this->leases.begin(); found != this->leases.end();) {
+        if (found->second.deadline > now) {
+            ++found;
+            continue;
+        }
+        for (auto& [key, value] : this->entries) {
+            if (value.lease_id == found->first) {
+                this->remove_entry(value);
+            }
+        }
+        found = this->leases.erase(found);
+    }
+}
+
+time_point store_state::next_expiry(time_point deadline) const
+{
+    for (const auto& [id, granted] : this->leases) {
+        deadline = std::min(deadline, granted.deadline);
+    }
+    return deadline;
+}
+
+} // namespace dragonflyroad::standin
