Add configuration objects, changes, folding, replica and freshness

Nodes and operators need one strict form of every object, a change log that is folded into values below 1 MB, and a replica whose revision only rises.

--- /dev/null
+++ b/src/config/cow_map.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace dragonflyroad {
+
+/// A std::map whose copies share their contents until one of them is changed. A configuration is
+/// copied for every change, and most changes leave most maps as they are.
+template<typename Key, typename Value>
+class cow_map {
+public:
+    using map_type = std::map<Key, Value>;
+    using value_type = typename map_type::value_type;
+    using const_iterator = typename map_type::const_iterator;
+
+    const_iterator begin() const { return this->shared->begin(); }
+    const_iterator end() const { return this->shared->end(); }
+    const_iterator find(const Key& key) const { return this->shared->find(key); }
+    bool contains(const Key& key) const { return this->shared->contains(key); }
+    const Value& at(const Key& key) const { return this->shared->at(key); }
+    std::size_t size() const { return this->shared->size(); }
+    bool empty() const { return this->shared->empty(); }
+
+    Value& operator[](const Key& key) { return this->writable()[key]; }
+    std::size_t erase(const Key& key) { return this->writable().erase(key); }
+    void emplace(const Key& key, Value value) { this->writable().emplace(key, std::move(value)); }
+    void insert_or_assign(const Key& key, Value value)
+    {
+        this->writable().insert_or_assign(key, std::move(value));
+    }
+
+private:
+    map_type& writable()
+    {
+        if (this->shared.use_count() != 1) {
+            this->shared = std::make_shared<map_type>(*this->shared);
+        }
+        return *this->shared;
+    }
+
+    std::shared_ptr<map_type> shared = std::make_shared<map_type>();
+};
+
+} // namespace dragonflyroad
--- a/src/config/model.cpp
+++ b/src/config/records.cpp
@@ -1,4 +1,4 @@
-#include "config/model.hpp"
+#include "config/records.hpp"
 
 namespace dragonflyroad {
 
--- /dev/null
+++ b/src/config/replica.cpp
@@ -0,0 +1,150 @@
+#include "config/replica.hpp"
+
+#include "config/codec.hpp"
+#include "core/failure.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace dragonflyroad {
+namespace {
+
+constexpr std::size_t kept_changes = 200;
+
+bool are_consecutive(const std::vector<change>& changes)
+{
+    const auto gap = std::adjacent_find(changes.begin(), changes.end(),
+                                        [](const change& earlier, const change& later) {
+                                            return later.revision != earlier.revision + 1;
+                                        });
+    return gap == changes.end();
+}
+
+} // namespace
+
+bool apply_change(configuration& config, const change& value)
+{
+    if (value.operation == change_operation::withdraw) {
+        withdraw_object(config, value.kind, value.name);
+    }
+    else {
+        const std::optional<object> body = decode_object_text(value.kind, value.body);
+        if (!body) {
+            return false;
+        }
+        if (name_of(*body) != value.name) {
+            fail("apply", fmt::format("{} {}", to_text(value.kind), value.name),
+                 "the body has another name");
+            return false;
+        }
+        put_object(config, *body);
+    }
+    config.revision = std::max(config.revision, value.revision);
+    return true;
+}
+
+bool apply_chunk(configuration& config, const chunk_record& chunk)
+{
+    const bool applied =
+        std::all_of(chunk.entries.begin(), chunk.entries.end(),
+                    [&config](const change& entry) { return apply_change(config, entry); });
+    config.revision = std::max(config.revision, chunk.through);
+    return applied;
+}
+
+adoption config_replica::adopt(const std::vector<change>& changes)
+{
+    if (!are_consecutive(changes)) {
+        fail("adopt", "changes", "the revisions are not consecutive");
+        return this->count(adoption::refused);
+    }
+    const revision_number present = this->revision();
+    if (changes.empty() || changes.back().revision <= present) {
+        return this->count(adoption::ignored);
+    }
+    if (changes.front().revision > present + 1) {
+        return this->count(adoption::gap);
+    }
+    configuration next = *this->current();
+    const auto skipped = static_cast<std::ptrdiff_t>(present + 1 - changes.front().revision);
+    for (auto entry = changes.begin() + skipped; entry != changes.end(); ++entry) {
+        if (!apply_change(next, *entry)) {
+            return this->count(adoption::refused);
+        }
+    }
+    this->published.publish(std::move(next));
+    this->log.insert(this->log.end(), changes.begin() + skipped, changes.end());
+    while (this->log.size() > kept_changes) {
+        this->log.pop_front();
+    }
+    return adoption::adopted;
+}
+
+adoption config_replica::adopt_head(const head_record& head)
+{
+    if (head.revision <= this->revision()) {
+        return this->count(adoption::ignored);
+    }
+    if (head.changes.empty() || head.folded_revision() > this->revision()) {
+        return this->count(adoption::gap);
+    }
+    return this->adopt(head.changes);
+}
+
+adoption config_replica::adopt_snapshot(configuration snapshot)
+{
+    if (snapshot.revision <= this->revision()) {
+        return this->count(adoption::ignored);
+    }
+    this->log.clear();
+    this->published.publish(std::move(snapshot));
+    return adoption::adopted;
+}
+
+revision_number config_replica::revision() const
+{
+    return this->current()->revision;
+}
+
+std::shared_ptr<const configuration> config_replica::current() const
+{
+    return this->published.read();
+}
+
+const adoption_counts& config_replica::counts() const
+{
+    return this->refusals;
+}
+
+std::optional<std::vector<change>> config_replica::changes_since(revision_number after) const
+{
+    if (after >= this->revision()) {
+        return std::vector<change>{};
+    }
+    if (this->log.empty() || this->log.front().revision > after + 1) {
+        return std::nullopt;
+    }
+    const auto skipped = static_cast<std::ptrdiff_t>(after + 1 - this->log.front().revision);
+    return std::vector<change>(this->log.begin() + skipped, this->log.end());
+}
+
+adoption config_replica::count(adoption result)
+{
+    switch (result) {
+    case adoption::ignored:
+        ++this->refusals.ignored;
+        break;
+    case adoption::gap:
+        ++this->refusals.gaps;
+        break;
+    case adoption::refused:
+        ++this->refusals.refused;
+        break;
+    case adoption::adopted:
+        break;
+    }
+    return result;
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/test/correctness/test_change.cpp
@@ -0,0 +1,169 @@
+#include "config/change_codec.hpp"
+#include "config/codec.hpp"
+#include "config/references.hpp"
+#include "config/replica.hpp"
+#include "core/random.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyroad;
+
+namespace {
+
+change put(const organisation& value, revision_number based_on)
+{
+    const object body{value};
+    return {0,
+            "id-" + value.id.value + std::to_string(value.rate),
+            object_kind::organisation,
+            value.id.value,
+            change_operation::put,
+            encode_object(body).dump(),
+            based_on};
+}
+
+organisation named(const std::string& id, double rate)
+{
+    return {organisation_id{id}, rate, 1, 1};
+}
+
+/// Chunks in memory, and the head.
+struct folded_fleet {
+    head_record head;
+    std::map<std::uint64_t, chunk_record> chunks;
+
+    revision_number folded(const std::string& name) const
+    {
+        for (auto used = this->head.chunks.rbegin(); used != this->head.chunks.rend(); ++used) {
+            const auto* found =
+                find_latest(this->chunks.at(used->number).entries, object_kind::organisation, name);
+            if (found != nullptr) {
+                return found->operation == change_operation::put ? found->revision : 0;
+            }
+        }
+        return 0;
+    }
+    configuration build() const
+    {
+        configuration config;
+        for (const chunk_reference& used : this->head.chunks) {
+            CHECK(this->chunks.at(used.number).through == used.through);
+            REQUIRE(apply_chunk(config, this->chunks.at(used.number)));
+        }
+        config_replica replica;
+        if (config.revision > 0) {
+            CHECK(replica.adopt_snapshot(config) == adoption::adopted);
+        }
+        replica.adopt_head(this->head);
+        return *replica.current();
+    }
+};
+
+} // namespace
+
+// Guards against a change that overwrites one that its author has not seen.
+TEST_CASE("a change based on an older version of the object is a conflict")
+{
+    const auto first = plan_change({}, put(named("a", 1), 0), 0);
+    REQUIRE(std::holds_alternative<head_record>(first));
+    const auto& head = std::get<head_record>(first);
+    CHECK(head.revision == 1);
+    const auto late = plan_change(head, put(named("a", 2), 0), 0);
+    REQUIRE(std::holds_alternative<change_conflict>(late));
+    CHECK(std::get<change_conflict>(late).found == 1);
+    CHECK(std::holds_alternative<head_record>(plan_change(head, put(named("b", 2), 0), 0)));
+    CHECK(std::holds_alternative<head_record>(plan_change(head, put(named("a", 2), 1), 0)));
+    CHECK(std::holds_alternative<change_conflict>(plan_change({}, put(named("a", 2), 0), 4)));
+}
+
+// Guards against objects that are lost, or that come back, when older changes are folded.
+TEST_CASE("folding keeps the configuration and the bounds under random changes")
+{
+    const fold_limits limits{5, 10, 100'000, 4'000};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        random_engine random{seed};
+        folded_fleet fleet;
+        std::map<std::string, double> expected;
+        for (int step = 1; step <= 300; ++step) {
+            const std::string name = "o" + std::to_string(uniform_index(random, 60));
+            const change* latest = find_latest(fleet.head.changes, object_kind::organisation, name);
+            const revision_number folded = fleet.folded(name);
+            change wanted = put(named(name, step), latest == nullptr ? folded : latest->revision);
+            expected[name] = step;
+            if (uniform(random) < 0.4) {
+                wanted.operation = change_operation::withdraw;
+                wanted.body.clear();
+                expected.erase(name);
+            }
+            fleet.head = std::get<head_record>(plan_change(fleet.head, wanted, folded));
+            const chunk_record* last = fleet.head.chunks.empty()
+                                           ? nullptr
+                                           : &fleet.chunks.at(fleet.head.chunks.back().number);
+            if (auto plan = plan_fold(fleet.head, last, limits)) {
+                for (const chunk_reference& used : fleet.head.chunks) {
+                    CHECK(used.number != plan->chunk_number);
+                }
+                CHECK(encode_chunk(plan->chunk).size() <= limits.most_chunk_bytes);
+                fleet.chunks[plan->chunk_number] = plan->chunk;
+                fleet.head = plan->head;
+            }
+            CHECK(fleet.head.changes.size() <= limits.most_changes);
+        }
+        CHECK(fleet.head.chunks.size() > 1);
+        const auto decoded = decode_head(encode_head(fleet.head));
+        REQUIRE(decoded);
+        CHECK(decoded->changes == fleet.head.changes);
+        CHECK(decoded->chunks == fleet.head.chunks);
+        CHECK(decoded->free_chunks == fleet.head.free_chunks);
+        const configuration config = fleet.build();
+        CHECK(config.revision == 300);
+        REQUIRE(config.organisations.size() == expected.size());
+        for (const auto& [name, rate] : expected) {
+            CHECK(config.organisations.at(organisation_id{name}).rate == rate);
+        }
+    }
+}
+
+// Guards against a corrupt head that is taken for a valid one.
+TEST_CASE("a head with gaps, unknown fields or corrupt bodies is refused")
+{
+    const auto head = std::get<head_record>(plan_change({}, put(named("a", 1), 0), 0));
+    const std::string valid = encode_head(head);
+    REQUIRE(decode_head(valid));
+    CHECK(decode_head("")->revision == 0);
+    const auto replaced = [&valid](const std::string& from, const std::string& to) {
+        std::string text = valid;
+        REQUIRE(text.find(from) != std::string::npos);
+        return decode_head(text.replace(text.find(from), from.size(), to));
+    };
+    CHECK_FALSE(decode_head(valid.substr(0, valid.size() / 2)));
+    CHECK_FALSE(replaced("\"revision\":1", "\"revision\":2"));
+    CHECK_FALSE(replaced("\"revision\":1", "\"revision\":0"));
+    CHECK_FALSE(replaced("\"revision\":1", "\"revision\":-1"));
+    CHECK_FALSE(replaced("\"chunks\":[]", "\"chunks\":[[1,1,1]]"));
+    CHECK_FALSE(replaced("\"rate\":1.0", "\"rate\":-1.0"));
+    CHECK_FALSE(replaced("\"id\":\"a\"", "\"id\":\"b\""));
+    CHECK_FALSE(replaced("{\"changes\"", "{\"more\":1,\"changes\""));
+}
+
+// Guards against dangling names that would refuse every request of a route.
+TEST_CASE("missing and referring objects are found")
+{
+    configuration config;
+    put_object(config, service{service_name{"s"}, profile_name{"p"}});
+    put_object(config, named("o", 1));
+    put_object(config, route{route_name{"r"}, "/", service_name{"s"}, {organisation_id{"o"}}});
+    const std::string digest(64, 'a');
+    put_object(config, key_record{digest, organisation_id{"o"}, key_state::withdrawn});
+    using names = std::vector<std::string>;
+    CHECK(missing_references(config, service{service_name{"s"}, profile_name{"p"}}) ==
+          names{"profile p"});
+    CHECK(missing_references(config, key_record{digest, organisation_id{"x"}}) ==
+          names{"organisation x"});
+    CHECK(referring_objects(config, object_kind::profile, "p") == names{"service s"});
+    CHECK(referring_objects(config, object_kind::service, "s") == names{"route r"});
+    CHECK(referring_objects(config, object_kind::organisation, "o") == names{"route r"});
+    put_object(config, key_record{digest, organisation_id{"o"}, key_state::granted});
+    CHECK(referring_objects(config, object_kind::organisation, "o").size() == 2);
+}
--- /dev/null
+++ b/test/correctness/test_replica.cpp
@@ -0,0 +1,94 @@
+#include "config/codec.hpp"
+#include "config/freshness.hpp"
+#include "config/replica.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+change numbered(revision_number revision)
+{
+    const object body{organisation{organisation_id{"o"}, static_cast<double>(revision), 1, 1}};
+    return {revision,
+            "id",
+            object_kind::organisation,
+            "o",
+            change_operation::put,
+            encode_object(body).dump(),
+            revision - 1};
+}
+
+double rate(const config_replica& replica)
+{
+    return replica.current()->organisations.at(organisation_id{"o"}).rate;
+}
+
+} // namespace
+
+// Guards against a configuration that reverts when older news arrives late.
+TEST_CASE("a replica adopts only what is newer, and reports a gap")
+{
+    config_replica replica;
+    CHECK(replica.adopt({numbered(1), numbered(2)}) == adoption::adopted);
+    CHECK(replica.adopt({numbered(1)}) == adoption::ignored);
+    CHECK(replica.adopt({}) == adoption::ignored);
+    CHECK(replica.adopt({numbered(4)}) == adoption::gap);
+    CHECK(replica.adopt({numbered(2), numbered(3), numbered(4)}) == adoption::adopted);
+    CHECK(rate(replica) == 4);
+    configuration old;
+    old.revision = 4;
+    CHECK(replica.adopt_snapshot(old) == adoption::ignored);
+    CHECK(rate(replica) == 4);
+    CHECK(replica.changes_since(2)->size() == 2);
+    CHECK(replica.counts().gaps == 1);
+    CHECK(replica.counts().ignored == 3);
+}
+
+// Guards against corrupt input that replaces, or half replaces, a valid configuration.
+TEST_CASE("corrupt changes are refused as a whole and counted")
+{
+    config_replica replica;
+    CHECK(replica.adopt({numbered(1)}) == adoption::adopted);
+    change corrupt = numbered(3);
+    corrupt.body = R"({"id":"o","rate":-1,"burst":1})";
+    CHECK(replica.adopt({numbered(2), corrupt}) == adoption::refused);
+    corrupt = numbered(2);
+    corrupt.name = "other";
+    CHECK(replica.adopt({corrupt}) == adoption::refused);
+    CHECK(replica.adopt({numbered(2), numbered(4)}) == adoption::refused);
+    CHECK(replica.revision() == 1);
+    CHECK(rate(replica) == 1);
+    CHECK(replica.counts().refused == 3);
+}
+
+// Guards against a peer that is sent changes with a gap after a snapshot was adopted.
+TEST_CASE("changes before a snapshot are not offered to peers")
+{
+    config_replica replica;
+    CHECK(replica.adopt({numbered(1)}) == adoption::adopted);
+    configuration snapshot = *replica.current();
+    snapshot.revision = 10;
+    CHECK(replica.adopt_snapshot(snapshot) == adoption::adopted);
+    CHECK(replica.adopt({numbered(11)}) == adoption::adopted);
+    CHECK_FALSE(replica.changes_since(9));
+    CHECK(replica.changes_since(10)->size() == 1);
+    CHECK(replica.changes_since(11)->empty());
+}
+
+// Guards against a withdrawn key that is served for more than 3 s by a node without proof.
+TEST_CASE("freshness falls from current to fleet_only or isolated at 3 s")
+{
+    const time_point start{100s};
+    freshness proofs;
+    CHECK(proofs.state(start, 3, 1) == freshness_state::isolated);
+    CHECK(proofs.state(start, 3, 2) == freshness_state::fleet_only);
+    proofs.note_proof(start);
+    proofs.note_proof(start - 1s);
+    CHECK(proofs.state(start + 2999ms, 3, 1) == freshness_state::current);
+    CHECK(proofs.state(start + 3s, 3, 1) == freshness_state::isolated);
+    CHECK(proofs.state(start + 3s, 4, 2) == freshness_state::isolated);
+    CHECK(proofs.state(start + 3s, 4, 3) == freshness_state::fleet_only);
+}
