Add the interfaces and first version of routing and retry

The node needs upstream sets, picking, ejection, retries and the crash log to forward requests. This adds them as pure decisions: time and randomness are arguments, the request path writes atomics only.

--- /dev/null
+++ b/src/retry/crash_log.cpp
@@ -0,0 +1,151 @@
+#include "retry/crash_log.hpp"
+
+#include "core/digest.hpp"
+
+#include <algorithm>
+
+namespace dragonflyroad {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration block_time = 60s;
+constexpr duration crash_memory = 60s;
+constexpr duration trial_time = 15s;
+constexpr std::size_t crashes_to_block = 2;
+// A record that returns by way of peers is shifted by their transit times; within this distance it
+// is the crash that is already known. Otherwise gossip would extend a block without end.
+constexpr duration same_crash = 1s;
+// A fingerprint without a crash for this long needs two new crashes to be blocked again.
+constexpr duration guilt_memory = 600s;
+// Upstreams remembered per fingerprint; two suffice to block.
+constexpr std::size_t largest_crashes = 8;
+
+} // namespace
+
+std::uint64_t request_fingerprint(const organisation_id& organisation, const service_name& service,
+                                  std::string_view method, std::string_view path,
+                                  std::string_view body)
+{
+    std::uint64_t hash = stable_hash(organisation.value);
+    hash = stable_hash(service.value, hash);
+    hash = stable_hash(method, hash);
+    hash = stable_hash(path, hash);
+    return stable_hash(body, hash);
+}
+
+void crash_log::make_room()
+{
+    if (this->entries.size() < largest_count) {
+        return;
+    }
+    const auto oldest = std::min_element(
+        this->entries.begin(), this->entries.end(), [](const auto& left, const auto& right) {
+            return left.second.last_crash < right.second.last_crash;
+        });
+    this->entries.erase(oldest);
+}
+
+void crash_log::add(std::uint64_t fingerprint, const upstream_id& upstream, time_point at,
+                    time_point now)
+{
+    if (now - at > crash_memory) {
+        return;
+    }
+    if (!this->entries.contains(fingerprint)) {
+        this->make_room();
+    }
+    entry& known = this->entries[fingerprint];
+    if (at - known.last_crash > guilt_memory) {
+        known = entry{};
+    }
+    const auto crash = known.crashes.find(upstream);
+    if (at <= known.cleared_at ||
+        (crash != known.crashes.end() && at <= crash->second + same_crash)) {
+        return;
+    }
+    std::erase_if(known.crashes, [&](const auto& old) { return at - old.second > crash_memory; });
+    if (known.crashes.size() < largest_crashes || known.crashes.contains(upstream)) {
+        known.crashes[upstream] = at;
+    }
+    known.last_crash = std::max(known.last_crash, at);
+    // A crash during or after a block proves the request guilty again, on one upstream.
+    if (known.is_blocked || known.crashes.size() >= crashes_to_block) {
+        known.is_blocked = true;
+        known.blocked_until = std::max(known.blocked_until, at + block_time);
+        known.trial_until = time_point{};
+    }
+}
+
+void crash_log::note(std::uint64_t fingerprint, const upstream_id& upstream, time_point now)
+{
+    this->add(fingerprint, upstream, now, now);
+}
+
+void crash_log::note_survived(std::uint64_t fingerprint, time_point now)
+{
+    const auto found = this->entries.find(fingerprint);
+    if (found != this->entries.end() && found->second.is_blocked) {
+        // Peers' records of the earlier crashes must not block it again.
+        found->second = entry{};
+        found->second.cleared_at = now;
+        found->second.last_crash = now;
+    }
+}
+
+bool crash_log::is_blocked(std::uint64_t fingerprint, time_point now) const
+{
+    const auto found = this->entries.find(fingerprint);
+    return found != this->entries.end() && found->second.is_blocked &&
+           (now < found->second.blocked_until || now < found->second.trial_until);
+}
+
+crash_verdict crash_log::ask(std::uint64_t fingerprint, time_point now)
+{
+    const auto found = this->entries.find(fingerprint);
+    if (found == this->entries.end() || !found->second.is_blocked) {
+        return crash_verdict::allowed;
+    }
+    entry& known = found->second;
+    if (now < known.blocked_until || now < known.trial_until) {
+        return crash_verdict::blocked;
+    }
+    known.trial_until = now + trial_time;
+    return crash_verdict::trial;
+}
+
+bool crash_log::is_suspect(std::uint64_t fingerprint, const upstream_id& upstream,
+                           time_point now) const
+{
+    const auto found = this->entries.find(fingerprint);
+    return found != this->entries.end() &&
+           std::any_of(found->second.crashes.begin(), found->second.crashes.end(),
+                       [&](const auto& crash) {
+                           return crash.first != upstream && now - crash.second <= crash_memory;
+                       });
+}
+
+void crash_log::merge(const std::vector<crash_record>& records, time_point now)
+{
+    for (const crash_record& record : records) {
+        this->add(record.fingerprint, record.upstream, std::min(record.at, now), now);
+    }
+}
+
+std::vector<crash_record> crash_log::recent(std::size_t count, time_point now) const
+{
+    std::vector<crash_record> list;
+    for (const auto& [fingerprint, known] : this->entries) {
+        for (const auto& [upstream, at] : known.crashes) {
+            if (now - at <= crash_memory) {
+                list.push_back({fingerprint, upstream, at});
+            }
+        }
+    }
+    std::sort(list.begin(), list.end(),
+              [](const auto& left, const auto& right) { return left.at > right.at; });
+    list.resize(std::min(list.size(), count));
+    return list;
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/routing/latency_histogram.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <array>
+#include <cstddef>
+
+namespace dragonflyroad {
+
+/// Bins of two steps per octave from 50 us to 50 s: enough resolution to tell a tenfold slowdown
+/// from noise, few enough to be read on each tick for every upstream.
+constexpr std::size_t latency_bins = 40;
+
+/// The bin of a latency.
+std::size_t to_latency_bin(duration latency);
+
+/// The largest latency that falls into `bin`.
+duration latency_bin_limit(std::size_t bin);
+
+/// Latency counts that fade exponentially. Owned by one controller, not shared between threads.
+class latency_histogram {
+public:
+    void add(std::size_t bin, double count)
+    {
+        this->counts.at(bin) += count;
+        this->sum += count;
+    }
+
+    /// Multiplies all counts by `factor`, between 0 and 1.
+    void fade(double factor);
+
+    double total() const { return this->sum; }
+
+    /// The upper limit of the bin that holds the share `share` (0 to 1); zero without samples.
+    duration quantile(double share) const;
+
+    /// The share of samples above `latency`, 0 to 1; zero without samples.
+    double share_above(duration latency) const;
+
+private:
+    std::array<double, latency_bins> counts{};
+    double sum = 0;
+};
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/routing/upstream_set.cpp
@@ -0,0 +1,193 @@
+#include "routing/upstream_set.hpp"
+
+#include "core/failure.hpp"
+#include "routing/concurrency_limit.hpp"
+
+#include <algorithm>
+
+namespace dragonflyroad {
+namespace {
+
+// Tracked ages per upstream: twice its largest limit, so that a change of the announced slots needs
+// no new table.
+std::uint32_t tracked_requests(std::uint32_t slots)
+{
+    return std::clamp<std::uint32_t>(2 * largest_limit(slots), 16, 512);
+}
+
+std::shared_ptr<upstream_entry> find(const service_view& view, const upstream_id& upstream)
+{
+    const auto found = std::find_if(view.upstreams.begin(), view.upstreams.end(),
+                                    [&](const auto& entry) { return entry->id == upstream; });
+    return found == view.upstreams.end() ? nullptr : *found;
+}
+
+void update(upstream_entry& entry, const upstream_announcement& announcement, time_point now)
+{
+    if (announcement.state == upstream_state::ready &&
+        entry.state.load() != upstream_state::ready) {
+        entry.cold_since_ns.store(now.time_since_epoch().count());
+        entry.ramp_since_ns.store(now.time_since_epoch().count());
+    }
+    if (entry.slots.exchange(announcement.slots) != announcement.slots) {
+        entry.limit.store(largest_limit(announcement.slots));
+    }
+    entry.state.store(announcement.state);
+}
+
+// Takes a place below `limit`; the loop only repeats when another thread took or freed one.
+bool take_place(upstream_entry& entry, std::uint32_t limit)
+{
+    std::uint32_t count = entry.in_flight.load(std::memory_order_relaxed);
+    do {
+        if (count >= limit) {
+            return false;
+        }
+    } while (!entry.in_flight.compare_exchange_weak(count, count + 1, std::memory_order_relaxed));
+    if (entry.in_flight_peak.load(std::memory_order_relaxed) < count + 1) {
+        entry.in_flight_peak.store(count + 1, std::memory_order_relaxed);
+    }
+    return true;
+}
+
+// Pause between the real requests of a probation: a faulty upstream then costs at most a few
+// requests per probation, a sound one passes within a second.
+constexpr std::chrono::milliseconds probe_pause{100};
+
+// In probation one request at a time, `probe_pause` apart.
+bool take_probe(upstream_entry& entry, time_point now)
+{
+    std::int64_t next = entry.next_probe_ns.load();
+    const std::int64_t now_ns = now.time_since_epoch().count();
+    return now_ns >= next && entry.next_probe_ns.compare_exchange_strong(
+                                 next, now_ns + duration{probe_pause}.count());
+}
+
+} // namespace
+
+upstream_entry::upstream_entry(const upstream_announcement& announcement,
+                               std::shared_ptr<service_reference> service_reference, time_point now)
+    : id(announcement.upstream),
+      service(announcement.service),
+      reference(std::move(service_reference)),
+      slots(announcement.slots),
+      state(announcement.state),
+      cold_since_ns(now.time_since_epoch().count()),
+      ramp_since_ns(now.time_since_epoch().count()),
+      limit(largest_limit(announcement.slots)),
+      statistics(tracked_requests(announcement.slots))
+{
+}
+
+void upstream_set::apply(const upstream_announcement& announcement, time_point now)
+{
+    const auto current = this->view(announcement.service);
+    if (current) {
+        if (const auto entry = find(*current, announcement.upstream)) {
+            update(*entry, announcement, now);
+            return;
+        }
+    }
+    if (announcement.state == upstream_state::expired) {
+        return;
+    }
+    service_view next;
+    if (current) {
+        next = *current;
+    }
+    else {
+        next.reference = std::make_shared<service_reference>();
+    }
+    next.upstreams.push_back(std::make_shared<upstream_entry>(announcement, next.reference, now));
+    view_map map = *this->services.read();
+    map[announcement.service] = std::make_shared<const service_view>(std::move(next));
+    this->services.publish(std::move(map));
+}
+
+bool upstream_set::remove(const service_name& service, const upstream_id& upstream)
+{
+    const auto current = this->view(service);
+    const auto entry = current ? find(*current, upstream) : nullptr;
+    if (!entry || entry->state.load() == upstream_state::ready || entry->in_flight.load() != 0) {
+        return false;
+    }
+    service_view next = *current;
+    std::erase(next.upstreams, entry);
+    view_map map = *this->services.read();
+    map[service] = std::make_shared<const service_view>(std::move(next));
+    this->services.publish(std::move(map));
+    return true;
+}
+
+std::shared_ptr<const service_view> upstream_set::view(const service_name& service) const
+{
+    const auto map = this->services.read();
+    const auto found = map->find(service);
+    return found == map->end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<const service_view>> upstream_set::views() const
+{
+    const auto map = this->services.read();
+    std::vector<std::shared_ptr<const service_view>> all;
+    all.reserve(map->size());
+    for (const auto& [name, view] : *map) {
+        all.push_back(view);
+    }
+    return all;
+}
+
+std::optional<exchange> upstream_set::begin(const service_name& service,
+                                            const upstream_id& upstream, const request_mark& mark,
+                                            time_point now) const
+{
+    const auto current = this->view(service);
+    const auto entry = current ? find(*current, upstream) : nullptr;
+    if (!entry) {
+        return fail("begin", upstream.value, "the upstream is not announced");
+    }
+    return begin(entry, mark, now);
+}
+
+std::optional<exchange> upstream_set::begin(const std::shared_ptr<upstream_entry>& upstream,
+                                            const request_mark& mark, time_point now)
+{
+    const ejection_step step = upstream->step.load(std::memory_order_relaxed);
+    if (upstream->state.load(std::memory_order_relaxed) != upstream_state::ready ||
+        step == ejection_step::ejected) {
+        return fail("begin", upstream->id.value, "the upstream takes no new work");
+    }
+    const bool is_probe = step == ejection_step::probation;
+    const std::uint32_t limit = is_probe ? 1 : upstream->limit.load(std::memory_order_relaxed);
+    if (!take_place(*upstream, limit)) {
+        return fail("begin", upstream->id.value, "the upstream is at its concurrency limit");
+    }
+    if (is_probe && !take_probe(*upstream, now)) {
+        upstream->in_flight.fetch_sub(1, std::memory_order_relaxed);
+        return fail("begin", upstream->id.value, "the upstream is in probation");
+    }
+    return exchange{upstream, upstream->statistics.begin(mark, now), mark, now, std::nullopt};
+}
+
+void upstream_set::first_byte(exchange& running, time_point now)
+{
+    running.answered = now;
+    running.upstream->statistics.first_byte(running.place);
+}
+
+void upstream_set::finish(const exchange& running, outcome_kind outcome, time_point now)
+{
+    upstream_entry& upstream = *running.upstream;
+    const duration latency = running.answered.value_or(now) - running.began;
+    if (running.began < upstream.evidence_from()) {
+        upstream.statistics.finish(running.place, running.mark, running.began, latency,
+                                   outcome_kind::cancelled, duration::zero());
+    }
+    else {
+        upstream.statistics.finish(running.place, running.mark, running.began, latency, outcome,
+                                   upstream.reference->slow_above());
+    }
+    upstream.in_flight.fetch_sub(1, std::memory_order_relaxed);
+}
+
+} // namespace dragonflyroad
