--- /dev/null
+++ b/src/claims/messages.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "limits/ledger.hpp"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace dragonflyroad {
+
+/// 128-bit digest of (organisation, service, Idempotency-Key), so that a claim has a fixed size.
+struct claim_key {
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    auto operator<=>(const claim_key&) const = default;
+};
+
+claim_key make_claim_key(const organisation_id& organisation, const service_name& service,
+                         std::string_view idempotency_key);
+
+/// What the owner of a key remembers of it.
+enum class claim_state { in_progress, done, unknown };
+
+/// Sent by the ingress node to the owner before it forwards an unsafe request.
+struct claim_request {
+    claim_key key;
+    /// Seat version by which the ingress node chose the owner.
+    std::uint64_t seat_version = 0;
+    /// Random number of this request; a claim sent again after a lost reply has the same.
+    std::uint64_t attempt = 0;
+    /// The profile's repeat_window.
+    std::chrono::milliseconds window{120'000};
+};
+
+/// `unavailable`: the owner cannot answer yet (fence closed, hand-over outstanding, table full).
+/// `wrong_version`: the seat versions of the two nodes differ; fetch the ledger and try again.
+enum class claim_verdict { granted, in_progress, done, unknown, unavailable, wrong_version };
+
+struct claim_reply {
+    claim_verdict verdict = claim_verdict::unavailable;
+    std::uint64_t seat_version = 0;
+};
+
+/// How a claimed request ended. `not_run` releases the key.
+enum class claim_outcome { done, unknown, not_run };
+
+struct claim_completion {
+    claim_key key;
+    std::uint64_t seat_version = 0;
+    std::uint64_t attempt = 0;
+    claim_outcome outcome = claim_outcome::unknown;
+    std::chrono::milliseconds window{120'000};
+};
+
+struct claim_record {
+    claim_key key;
+    claim_state state = claim_state::in_progress;
+    std::uint64_t attempt = 0;
+    std::chrono::milliseconds remaining{};
+};
+
+/// How long ago the sender saw that a seat was removed without a hand-over.
+struct lost_seat {
+    seat_key holder;
+    std::uint64_t departed = 0;
+    std::chrono::milliseconds elapsed{};
+};
+
+/// All claims of one previous owner whose keys the receiver owns at `seat_version`. Sent to every
+/// other seat after each seat change, also without claims: it says that the sender no longer
+/// answers for these keys.
+struct claim_hand_over {
+    seat_key from;
+    std::uint64_t seat_version = 0;
+    /// Seat version up to which the sender knows all claims of the keys it owned.
+    std::uint64_t complete_at = 0;
+    /// The sender is about to leave; `seat_version` is the version it is still seated in.
+    bool leaving = false;
+    std::vector<claim_record> claims;
+    std::vector<lost_seat> lost;
+};
+
+struct claim_hand_over_ack {
+    seat_key from;
+    std::uint64_t seat_version = 0;
+    std::uint64_t complete_at = 0;
+    bool leaving = false;
+};
+
+} // namespace dragonflyroad
