--- a/src/claims/claim_table.hpp
+++ b/src/claims/claim_table.hpp
@@ -61,7 +61,7 @@
     struct key_hash {
         std::size_t operator()(const claim_key& key) const { return key.low; }
     };
-    struct entry {
+    struct claim_entry {
         claim_state state = claim_state::in_progress;
         std::uint64_t attempt = 0;
         time_point expires{};
@@ -69,19 +69,21 @@
     struct lost_owner {
         departure seat;
         time_point since{};
+        /// Stands for departures that the ledger no longer lists: any key may be affected.
+        bool everything = false;
     };
     struct transfer {
         bool acknowledged = false;
         time_point sent{};
     };
 
-    std::optional<seat_key> next_owner(const claim_key& key) const;
     bool is_ready(const claim_key& key) const;
     bool is_lost(const claim_key& key, time_point now) const;
     void note_departures(const ledger& previous, time_point now);
     void start_transfers();
     void finish_if_complete();
-    claim_hand_over build(const seat_key& receiver, time_point now) const;
+    claim_hand_over empty_hand_over(time_point now) const;
+    void adopt_loss(const lost_seat& loss, time_point now);
     void adopt_record(const claim_record& record, time_point now);
 
     seat_key self;
@@ -90,9 +92,8 @@
     ledger book;
     /// Seat version up to which this node has all claims of the keys that it owned.
     std::uint64_t complete_at = 0;
-    /// Seat version before which this node cannot have owned a key.
     bool stopping = false;
-    std::unordered_map<claim_key, entry, key_hash> claims;
+    std::unordered_map<claim_key, claim_entry, key_hash> claims;
     /// Per sender, the `complete_at` of its hand-over for the current seat version.
     std::map<seat_key, std::uint64_t> received;
     std::map<seat_key, transfer> transfers;
--- a/src/limits/fair_queue.hpp
+++ b/src/limits/fair_queue.hpp
@@ -43,7 +43,7 @@
     /// The next request to serve that still has time left.
     std::optional<queue_ticket> pop(time_point now);
 
-    /// Removes the requests whose deadline has passed; call it before pop().
+    /// Removes and returns the requests whose deadline has passed.
     std::vector<shed_request> shed(time_point now);
 
     /// Removes a request whose client has gone. False when it is not waiting any more.
@@ -69,6 +69,7 @@
     using flow_map = std::unordered_map<organisation_id, flow>;
     using expiry = std::pair<time_point, std::pair<queue_ticket, organisation_id>>;
 
+    void expire(time_point now);
     void forget_if_empty(flow_map::iterator place);
     flow_map::iterator most_above_share();
     flow_map::iterator next_flow();
@@ -81,6 +82,8 @@
     /// Virtual start times of organisations that have been served lately and have nothing waiting.
     std::unordered_map<organisation_id, double> served;
     std::set<expiry> deadlines;
+    /// Timed out and not yet reported by shed().
+    std::vector<shed_request> expired;
 };
 
 } // namespace dragonflyroad
--- a/src/limits/rights.hpp
+++ b/src/limits/rights.hpp
@@ -90,6 +90,9 @@
 private:
     struct shard {
         mutable std::mutex lock;
+        /// Units of the seat as this shard's accounts use them; a change reaches one shard after
+        /// the other, each under its lock, so that no account refills with units it did not have.
+        std::int64_t units = 0;
         std::unordered_map<organisation_id, account> accounts;
         std::vector<organisation_id> short_of_tokens;
         std::vector<organisation_id> borrowers;
@@ -101,6 +104,8 @@
         std::int64_t units = 0;
         std::uint64_t extends = 0;
         time_point sent{};
+        /// The round of requests no longer waits for the reply; a loan is still accepted.
+        bool timed_out = false;
     };
     /// Units gained at one time, for making accounts that have been idle since.
     struct layer {
@@ -111,19 +116,20 @@
     shard& shard_of(const organisation_id& name);
     account& find_or_make(shard& part, const organisation& limits, time_point now);
     double idle_tokens(const organisation& limits, time_point now) const;
+    bool any_lent(time_point now, bool beyond_units);
     admission decide(shard& part, account& entry, const organisation& limits, time_point now);
     void change_layers(std::int64_t before, std::int64_t after, time_point now);
-    void plan_shortage(const organisation_id& name, account& entry,
+    void plan_shortage(const organisation_id& name, account& entry, std::int64_t units_held,
                        const std::vector<seat_key>& peers, random_engine& random, time_point now,
                        loan_plan& plan);
-    void plan_loans(const organisation_id& name, account& entry, random_engine& random,
-                    time_point now, loan_plan& plan);
+    void plan_loans(const organisation_id& name, account& entry, std::int64_t units_held,
+                    random_engine& random, time_point now, loan_plan& plan);
     void plan_shard(shard& part, const std::vector<seat_key>& peers, random_engine& random,
                     time_point now, loan_plan& plan);
     std::uint64_t note_pending(pending_request request, random_engine& random);
     std::optional<pending_request> take_pending(std::uint64_t id);
     void drop_late_requests(time_point now);
-    static void finish_round(account& entry, time_point now);
+    void end_request(const organisation_id& name, bool granted, time_point now);
 
     static constexpr std::size_t shard_count = 64;
 
--- a/src/limits/rights_controller.hpp
+++ b/src/limits/rights_controller.hpp
@@ -10,6 +10,7 @@
 #include "limits/witness_book.hpp"
 
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -82,7 +83,7 @@
     /// Returns false when this node's copy is older, so that the ledger has to be fetched.
     bool note_proof(const ledger_proof& proof, time_point now);
     /// An acknowledgement with a witness promise, for a ping sent at `as_of`.
-    void note_promise(const seat_key& witness, bool promised, time_point as_of);
+    void note_promise(const seat_key& witness, bool was_promised, time_point as_of);
     void note_consent(const seat_key& witness, const consent_reply& reply, time_point now);
 
     /// Whether an acknowledgement to `holder` carries this node's promise.
@@ -113,17 +114,16 @@
         std::uint64_t expected_version = 0;
         std::string kind;
         time_point sent{};
-        bool unknown = false;
     };
 
     const seat* own_seat() const { return this->copy.find(this->self); }
     bool adopt(const ledger& book, std::uint64_t store_version, time_point now);
     void settle(time_point now);
+    void note_seats(time_point now);
     void apply_units(time_point now);
-    void refresh_fence(time_point as_of);
+    void refresh_proof(std::uint64_t version, time_point as_of);
     std::size_t rank(const std::vector<rights_peer>& peers, time_point now) const;
     time_point heard(const std::vector<rights_peer>& peers, const seat_key& holder) const;
-    bool may_write(time_point now) const;
     std::optional<ledger_write> choose(const std::vector<rights_peer>& peers, time_point now);
     std::optional<ledger_write> own_change(const std::vector<rights_peer>& peers, time_point now);
     std::optional<ledger_write> join_or_leave(time_point now);
@@ -149,19 +149,31 @@
     bool known = false;
     bool seated_before = false;
     bool stopping = false;
-    bool left = false;
+    bool gone = false;
     bool wants_read = true;
     std::uint64_t handed_over_version = 0;
     std::optional<outstanding_write> writing;
+    /// Expected version of the latest write that was not reported as written. It may have taken
+    /// effect, or still do so, until a ledger with a higher store version is known. A conflict
+    /// counts as undecided too: a transport that repeats a write reports a conflict with the first
+    /// copy.
+    std::optional<std::uint64_t> undecided;
     /// Units removed in memory for a split that is not decided yet.
     std::int64_t reduced = 0;
+    bool reduction_written = false;
     std::optional<seat_key> split_to;
     /// Witnesses named in a replacement that is not decided yet.
     std::optional<std::vector<seat_key>> replacing;
-    std::vector<seat_key> refusing_witnesses;
+    /// Latest promise of each own witness, or when it was named.
+    std::map<seat_key, time_point> promised;
+    /// When this node first saw each seat; nobody is suspected before it could be heard.
+    std::map<seat_key, time_point> first_seen;
+    std::size_t last_rank = 0;
+    time_point stop_time{};
     time_point next_write{};
     time_point next_read{};
     time_point free_since{};
+    duration conflict_delay{};
     time_point last_step{};
     time_point resumed{};
 };
