--- /dev/null
+++ b/src/adapters/rpc_client.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "adapters/peer_rpc.hpp"
+#include "core/clock.hpp"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+namespace dragonflyroad {
+
+/// Calls methods of other nodes over their peer port. Thread-safe; connections are kept for reuse.
+/// A call is sent once and never repeated.
+class rpc_client {
+public:
+    rpc_client(node_id self, std::string fleet_secret);
+    rpc_client(const rpc_client&) = delete;
+    rpc_client& operator=(const rpc_client&) = delete;
+    rpc_client(rpc_client&&) = delete;
+    rpc_client& operator=(rpc_client&&) = delete;
+    ~rpc_client();
+
+    /// Calls `method` at "ip:port" and waits for the result until `deadline` at most. Gives nothing
+    /// with one of these steps in last_failure(): "rpc_connect" (the call did not run), "rpc_send"
+    /// (it may have run), "rpc_refused" (401, it did not run), "rpc_error" (the method gave an
+    /// error, which is the detail), "rpc_answer" (the answer was invalid or wrongly signed).
+    std::optional<nlohmann::json> call(const std::string& address, const std::string& method,
+                                       const nlohmann::json& params, time_point deadline);
+
+private:
+    class connection_pool;
+
+    node_id self;
+    rpc_signer signer;
+    std::unique_ptr<connection_pool> connections;
+};
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/adapters/rpc_server.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "adapters/peer_rpc.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+namespace dragonflyroad {
+
+/// The HTTP answer to one call.
+struct rpc_answer {
+    int status = 200;
+    std::string body;
+    /// Value of rpc_signature_header; empty with status 401.
+    std::string signature;
+};
+
+/// The server side of JSON-RPC between nodes, without HTTP: the peer port's handler passes body and
+/// headers to answer(). Methods run on the calling thread, several at a time.
+class rpc_server {
+public:
+    /// Takes the `params` object and the calling node. Giving nothing answers the caller with a
+    /// JSON-RPC error that holds the step and detail of last_failure().
+    using method = std::function<std::optional<nlohmann::json>(const nlohmann::json& params,
+                                                               const node_id& caller)>;
+
+    explicit rpc_server(std::string fleet_secret);
+    rpc_server(const rpc_server&) = delete;
+    rpc_server& operator=(const rpc_server&) = delete;
+    rpc_server(rpc_server&&) = delete;
+    rpc_server& operator=(rpc_server&&) = delete;
+    ~rpc_server();
+
+    /// Registers a method; all are registered before the first call.
+    void add(const std::string& name, method run);
+
+    /// Verifies and runs one call. A missing, wrong, old or repeated signature gives 401 and is
+    /// counted.
+    rpc_answer answer(const std::string& body, const rpc_credentials& credentials, wall_time now);
+
+    std::uint64_t refused(rpc_refusal refusal) const;
+
+private:
+    class dispatcher;
+
+    std::optional<rpc_refusal> verify(const std::string& body, const rpc_credentials& credentials,
+                                      wall_time now);
+
+    rpc_signer signer;
+    rpc_replay_guard replays;
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(rpc_refusal::count)> refusals{};
+    std::unique_ptr<dispatcher> methods;
+};
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/membership/peer_table.hpp
@@ -0,0 +1,184 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+#include "core/random.hpp"
+#include "membership/gossip_queue.hpp"
+#include "membership/messages.hpp"
+#include "membership/peer_entry.hpp"
+#include "membership/ping_schedule.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflyroad {
+
+/// What the other controllers contribute to the own messages.
+struct local_facts {
+    revision_number revision = 0;
+    /// When no newer revision existed in the store, as far as this node can prove.
+    std::optional<time_point> store_proof;
+    std::uint64_t seat_version = 0;
+    std::optional<time_point> ledger_proof;
+    /// The witnesses named in the own seat.
+    std::vector<node_id> witnesses;
+    /// Runs whose reclaim this node has consented to.
+    std::set<incarnation> consented;
+};
+
+/// What an acknowledgement proves. Times are those at which the statement was certainly true: the
+/// sending of the ping less the stated age, so a delayed message cannot appear fresh.
+struct ack_evidence {
+    node_id from;
+    incarnation run = 0;
+    /// When the acknowledged ping was sent.
+    time_point proved_at;
+    std::optional<time_point> store_proof;
+    std::optional<time_point> ledger_proof;
+    bool witness_promise = false;
+};
+
+struct outgoing_message {
+    std::string address;
+    peer_message message;
+};
+
+struct state_change {
+    peer_card peer;
+    peer_state from = peer_state::alive;
+    peer_state to = peer_state::alive;
+};
+
+struct tick_result {
+    std::vector<outgoing_message> messages;
+    std::vector<state_change> changes;
+    /// The length of the own pause that was detected, or zero.
+    duration paused{};
+};
+
+struct message_result {
+    std::vector<outgoing_message> messages;
+    std::optional<ack_evidence> evidence;
+    /// The sender is known, its run is current and the message was addressed to this run.
+    bool merge_body = false;
+};
+
+/// Known nodes of the fleet against those with which this node has two-way contact. In fleets too
+/// large to ping every node within the alive window, `heard` is extrapolated from the sample of
+/// recent pings.
+struct contact {
+    std::size_t known = 0;
+    std::size_t heard = 0;
+};
+
+/// The other nodes of the fleet as this node sees them. It sends a bounded number of messages per
+/// second whatever the size of the fleet.
+class peer_table {
+public:
+    peer_table(peer_card self, std::vector<std::string> seed_addresses, peer_settings limits = {});
+
+    /// Replaces the facts that the next messages state.
+    void set_facts(local_facts facts);
+
+    /// Sends the pings that are due and moves peers between states. Call it at next_tick() or
+    /// shortly after; a call more than the pause gap late counts as a pause of this node.
+    tick_result tick(time_point now, random_engine& random);
+    /// When tick() has to be called next. Earlier after request_round().
+    time_point next_tick() const;
+
+    /// Takes a verified message that arrived from `address`.
+    message_result on_message(const peer_message& message, const std::string& address,
+                              time_point now, random_engine& random);
+
+    /// Brings the next round forward, for news that cannot wait. Additional rounds are limited to
+    /// one for every two regular ones; two can be saved up.
+    void request_round(time_point now);
+
+    /// Takes a card from gossip or from a peer's list; true when it was newer than the known one.
+    bool learn(const peer_card& card, time_point now);
+    /// Announces the own shutdown.
+    void leave(time_point now);
+
+    const std::map<node_id, peer_entry>& peers() const { return this->entries; }
+    const peer_entry* find(const node_id& node) const;
+    const peer_entry* find(incarnation run) const;
+    const peer_card& self() const { return this->own; }
+    /// The own card and those of all peers that are neither lost nor left.
+    std::vector<peer_card> cards() const;
+    contact contacts(time_point now) const;
+    /// Nodes of the fleet, this one included, that are neither lost nor left.
+    std::size_t fleet_size() const;
+    /// A higher incarnation of the own name exists: this process must not continue under its own.
+    bool is_superseded() const { return this->superseded; }
+
+    gossip_queue& gossip() { return this->queue; }
+
+private:
+    struct pending_ping {
+        node_id node;
+        time_point sent_at;
+        bool counted = false;
+    };
+    /// A peer asked about a third node that has not answered yet.
+    struct open_question {
+        node_id asker;
+        std::uint64_t echo = 0;
+        incarnation about = 0;
+        time_point expires;
+    };
+
+    void on_pause(time_point now);
+    void count_misses(time_point now);
+    void judge_all(time_point now, std::vector<state_change>& changes);
+    void send_round(time_point now, random_engine& random, std::vector<outgoing_message>& messages);
+    void ping_seeds(time_point now, std::vector<outgoing_message>& messages);
+    outgoing_message make_ping(peer_entry* peer, const std::string& address, time_point now);
+    message_result on_ping(const peer_message& message, const std::string& address, time_point now,
+                           random_engine& random);
+    message_result on_ack(const peer_message& message, const std::string& address, time_point now);
+    peer_entry* sender_of(const peer_message& message, time_point now);
+    outgoing_message make_ack(const std::string& address, incarnation run, std::uint64_t echo,
+                              const peer_entry* peer, time_point now);
+    message_body make_body(const peer_entry* peer, time_point now);
+    void add_heard(message_body& body, incarnation run, time_point now) const;
+    void add_sample(message_body& body, random_engine& random) const;
+    void take_heard(const message_body& body, time_point proved_at);
+    void take_news(const message_body& body, time_point now);
+    void take_suspicion(const suspicion& doubt, time_point now);
+    void take_questions(const ping& content, const peer_message& message, time_point now);
+    void answer_questions(const peer_entry& about, time_point now,
+                          std::vector<outgoing_message>& messages);
+    void note_received(peer_entry& peer, time_point now);
+    void forget(time_point now);
+    duration refutation_time() const;
+    peer_entry* entry_of(const node_id& node);
+
+    peer_card own;
+    std::vector<std::string> seeds;
+    peer_settings limits;
+    local_facts facts;
+    std::map<node_id, peer_entry> entries;
+    std::unordered_map<incarnation, node_id> by_run;
+    gossip_queue queue;
+    ping_schedule schedule;
+    std::map<std::uint64_t, pending_ping> pending;
+    std::deque<open_question> open_questions;
+    /// Runs by the time of their latest message, newest first; bounded.
+    std::deque<incarnation> recently_heard;
+    std::uint64_t next_nonce = 1;
+    std::optional<time_point> last_tick;
+    time_point next_round;
+    time_point urgent_credit_from;
+    std::size_t acks_left = 0;
+    std::size_t next_seed = 0;
+    bool superseded = false;
+};
+
+} // namespace dragonflyroad
