Implement membership and the peer adapters

A node needs to know its peers, their upstreams and their configuration revision, and to call peers. This adds the decision classes behind fleet_membership, the UDP transport and signed JSON-RPC.

--- /dev/null
+++ b/src/adapters/jsonrpc_library.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+// libjsonrpccpp 0.7 declares its functions with dynamic exception specifications, which C++17
+// removed. While its headers are read, `throw()` becomes noexcept and any other specification is
+// dropped; neither affects the ABI. The standard headers that it uses come first, so that they are
+// read unchanged.
+#include <exception>
+#include <jsoncpp/json/json.h>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+// NOLINTBEGIN
+#define throw(...) noexcept(true __VA_OPT__(&&false))
+#include <jsonrpccpp/client.h>
+#include <jsonrpccpp/client/iclientconnector.h>
+#include <jsonrpccpp/common/errors.h>
+#include <jsonrpccpp/common/exception.h>
+#include <jsonrpccpp/common/procedure.h>
+#include <jsonrpccpp/server/abstractserver.h>
+#include <jsonrpccpp/server/abstractserverconnector.h>
+#undef throw
+// NOLINTEND
--- a/src/adapters/peer_rpc.hpp
+++ b/src/adapters/peer_rpc.hpp
@@ -18,8 +18,10 @@
 
 /// The HTTP path of JSON-RPC on the peer port.
 constexpr const char* peer_rpc_path = "/rpc";
-/// Longest body of a call or of its answer. A snapshot of 1 million organisations is 24 MB.
-constexpr std::size_t max_rpc_bytes = 64U << 20U;
+/// Longest body of a call. It has to be read before its signature can be verified.
+constexpr std::size_t max_rpc_call_bytes = 4U << 20U;
+/// Longest answer. A snapshot of 1 million organisations is 24 MB.
+constexpr std::size_t max_rpc_answer_bytes = 64U << 20U;
 
 /// The HTTP headers that authenticate a call.
 constexpr const char* rpc_node_header = "X-Peer-Node";
@@ -47,7 +49,8 @@
 public:
     explicit rpc_signer(std::string fleet_secret) : secret(std::move(fleet_secret)) {}
 
-    rpc_credentials sign_call(const node_id& node, std::string_view body, wall_time now) const;
+    rpc_credentials sign_call(const node_id& node, const std::string& nonce, std::string_view body,
+                              wall_time now) const;
     /// The signature of an answer covers the nonce of its call.
     std::string sign_answer(const std::string& nonce, std::string_view body) const;
     bool is_answer_valid(const std::string& nonce, std::string_view body,
--- a/src/adapters/rpc_client.hpp
+++ b/src/adapters/rpc_client.hpp
@@ -31,6 +31,10 @@
 private:
     class connection_pool;
 
+    /// One signed POST; gives the verified body of the answer.
+    std::optional<std::string> post(const std::string& address, const std::string& body,
+                                    time_point deadline);
+
     node_id self;
     rpc_signer signer;
     std::unique_ptr<connection_pool> connections;
--- a/src/adapters/udp_transport.hpp
+++ b/src/adapters/udp_transport.hpp
@@ -60,7 +60,7 @@
 
     udp_transport(int socket, int stop_event, std::string address, handler on_datagram);
     void receive_loop();
-    void receive_all();
+    void receive_one();
 
     int socket_fd;
     int stop_fd;
--- a/src/membership/announcements.hpp
+++ b/src/membership/announcements.hpp
@@ -53,14 +53,12 @@
     /// Takes a record from a peer. The highest (run, sequence) wins.
     merge_outcome merge(const upstream_record& record, time_point now);
 
-    /// The announcing node is lost: its upstreams stay for a limited time (settings) at most, and
-    /// only until a request to them fails.
+    /// The announcing run is lost or was replaced by a later run of its node. Upstreams that no
+    /// later run has announced stay for a limited time (settings) at most, and only until a request
+    /// to them fails.
     void on_node_lost(incarnation run, time_point now);
-    /// The announcing node is alive again.
+    /// The announcing run is alive again.
     void on_node_alive(incarnation run);
-    /// The announcing node shut down or was replaced by a later run: its upstreams that a later run
-    /// has not announced leave the rotation after the same time as those of a lost node.
-    bool is_lost(incarnation run) const;
     /// A request to an upstream failed on the upstream's side.
     void note_failure(const upstream_id& upstream, time_point now);
 
@@ -93,9 +91,10 @@
         bool withheld = false;
     };
 
-    upstream_record store_own(const upstream_offer& offer, time_point now);
+    upstream_record store_own(const upstream_record& offered, time_point expires);
     bool is_usable(const entry& known) const;
     void end_lost(time_point now);
+    void withhold(entry& known, time_point now);
 
     incarnation own_run;
     announcement_settings limits;
--- /dev/null
+++ b/src/membership/fleet_membership.cpp
@@ -0,0 +1,182 @@
+#include "membership/fleet_membership.hpp"
+
+#include <utility>
+
+namespace dragonflyroad {
+namespace {
+
+/// Own upstream records that one acknowledgement adds for a sender that lacks them.
+constexpr std::size_t max_synced_records = 6;
+
+} // namespace
+
+fleet_membership::fleet_membership(peer_card self, std::vector<std::string> seed_addresses,
+                                   std::string fleet_secret, membership_settings settings)
+    : table(self, std::move(seed_addresses), settings.peers),
+      upstreams(self.run, settings.announcements),
+      seal(std::move(fleet_secret), self.run),
+      limits(settings.peers)
+{
+}
+
+membership_tick fleet_membership::tick(time_point now, random_engine& random)
+{
+    membership_tick result;
+    for (const upstream_record& record : this->upstreams.expire(now)) {
+        this->spread(record, now);
+    }
+    tick_result due = this->table.tick(now, random);
+    this->follow(due.changes, now);
+    for (outgoing_message& message : due.messages) {
+        result.datagrams.push_back(this->finish(message, 0, now));
+    }
+    result.changes = std::move(due.changes);
+    result.paused = due.paused;
+    return result;
+}
+
+void fleet_membership::follow(const std::vector<state_change>& changes, time_point now)
+{
+    for (const state_change& change : changes) {
+        if (change.to == peer_state::lost || change.to == peer_state::left) {
+            this->upstreams.on_node_lost(change.peer.run, now);
+        }
+        else {
+            this->upstreams.on_node_alive(change.peer.run);
+        }
+    }
+}
+
+datagram fleet_membership::finish(outgoing_message& outgoing, std::uint64_t synced, time_point now)
+{
+    peer_message& message = outgoing.message;
+    if (auto* const content = std::get_if<ping>(&message.content)) {
+        content->synced = this->upstreams.synced(message.destination_run);
+    }
+    else if (synced < this->upstreams.own_sequence()) {
+        ack& reply = std::get<ack>(message.content);
+        reply.body.upstreams = this->upstreams.own_since(synced, max_synced_records);
+        reply.synced_to = reply.body.upstreams.size() < max_synced_records
+                              ? this->upstreams.own_sequence()
+                              : reply.body.upstreams.back().sequence;
+    }
+    if (message.destination_run != 0) {
+        this->table.gossip().fill(message.body(), this->table.fleet_size(), now);
+    }
+    return {std::move(outgoing.address), this->seal.seal(message)};
+}
+
+membership_news fleet_membership::on_datagram(std::string_view bytes, time_point now,
+                                              random_engine& random)
+{
+    membership_news news;
+    const std::optional<peer_message> message = this->seal.open(bytes);
+    if (!message) {
+        return news;
+    }
+    news.accepted = true;
+    message_result result = this->table.on_message(*message, now, random);
+    news.evidence = std::move(result.evidence);
+    if (result.merge_body) {
+        this->take_body(*message, now, news);
+    }
+    const auto* const asked = std::get_if<ping>(&message->content);
+    for (outgoing_message& outgoing : result.messages) {
+        const auto* const reply = std::get_if<ack>(&outgoing.message.content);
+        const bool answers = asked != nullptr && reply != nullptr && reply->echo == message->nonce;
+        const std::uint64_t synced = answers ? asked->synced : this->upstreams.own_sequence();
+        news.datagrams.push_back(this->finish(outgoing, synced, now));
+    }
+    return news;
+}
+
+void fleet_membership::take_body(const peer_message& message, time_point now, membership_news& news)
+{
+    const message_body& body = message.body();
+    news.from = message.sender;
+    if (const peer_entry* const sender = this->table.find(message.sender)) {
+        news.rpc_address = sender->card.rpc_address;
+    }
+    news.revision = body.revision;
+    news.seat_version = body.seat_version;
+    for (const upstream_record& record : body.upstreams) {
+        if (this->upstreams.merge(record, now) == merge_outcome::newer) {
+            this->spread(record, now);
+            news.upstreams.push_back(record);
+        }
+    }
+    if (const auto* const reply = std::get_if<ack>(&message.content); reply != nullptr) {
+        this->upstreams.set_synced(message.sender_run, reply->synced_to);
+    }
+    for (const crash_report& crash : body.crashes) {
+        if (this->table.gossip().note(crash, now)) {
+            news.crashes.push_back(crash);
+        }
+    }
+    for (const ejection_report& ejection : body.ejections) {
+        if (this->table.gossip().note(ejection, now)) {
+            news.ejections.push_back(ejection);
+        }
+    }
+}
+
+void fleet_membership::spread(const upstream_record& record, time_point now)
+{
+    this->table.gossip().push(record);
+    if (record.state != upstream_state::serving) {
+        this->table.request_round(now);
+    }
+}
+
+void fleet_membership::set_facts(local_facts facts, time_point now)
+{
+    const bool is_newer = facts.revision > this->stated_revision;
+    this->stated_revision = facts.revision;
+    this->table.set_facts(std::move(facts));
+    if (is_newer && this->limits.urgent_revisions) {
+        this->table.request_round(now);
+    }
+}
+
+void fleet_membership::announce(const upstream_offer& offer, time_point now)
+{
+    if (const auto record = this->upstreams.announce(offer, now)) {
+        this->spread(*record, now);
+    }
+}
+
+void fleet_membership::withdraw(const upstream_id& upstream, time_point now)
+{
+    if (const auto record = this->upstreams.leave(upstream, now)) {
+        this->spread(*record, now);
+    }
+}
+
+void fleet_membership::merge(const std::vector<upstream_record>& records, time_point now)
+{
+    for (const upstream_record& record : records) {
+        this->upstreams.merge(record, now);
+    }
+}
+
+void fleet_membership::note_failure(const upstream_id& upstream, time_point now)
+{
+    this->upstreams.note_failure(upstream, now);
+}
+
+void fleet_membership::report(const crash_report& crash, time_point now)
+{
+    this->table.gossip().note(crash, now);
+}
+
+void fleet_membership::report(const ejection_report& ejection, time_point now)
+{
+    this->table.gossip().note(ejection, now);
+}
+
+void fleet_membership::leave(time_point now)
+{
+    this->table.leave(now);
+}
+
+} // namespace dragonflyroad
--- a/src/membership/fleet_membership.hpp
+++ b/src/membership/fleet_membership.hpp
@@ -58,8 +58,7 @@
                      std::string fleet_secret, membership_settings limits = {});
 
     membership_tick tick(time_point now, random_engine& random);
-    membership_news on_datagram(std::string_view bytes, const std::string& address, time_point now,
-                                random_engine& random);
+    membership_news on_datagram(std::string_view bytes, time_point now, random_engine& random);
     time_point next_tick() const { return this->table.next_tick(); }
 
     /// States these facts from now on; a higher revision brings the next round forward.
@@ -87,7 +86,8 @@
     std::uint64_t refused(peer_refusal refusal) const { return this->seal.refused(refusal); }
 
 private:
-    datagram finish(outgoing_message& message, time_point now);
+    /// Adds gossip and, to an acknowledgement, own records above `synced`; signs the message.
+    datagram finish(outgoing_message& outgoing, std::uint64_t synced, time_point now);
     void follow(const std::vector<state_change>& changes, time_point now);
     void take_body(const peer_message& message, time_point now, membership_news& news);
     void spread(const upstream_record& record, time_point now);
@@ -95,6 +95,8 @@
     peer_table table;
     announcement_table upstreams;
     message_seal seal;
+    peer_settings limits;
+    revision_number stated_revision = 0;
 };
 
 } // namespace dragonflyroad
--- /dev/null
+++ b/src/membership/gossip_queue.cpp
@@ -0,0 +1,124 @@
+#include "membership/gossip_queue.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dragonflyroad {
+namespace {
+
+/// Crashes matter for 60 s and verdicts for less: reports older than this are neither passed on nor
+/// remembered.
+constexpr duration report_lifetime = std::chrono::seconds{60};
+
+} // namespace
+
+std::size_t retransmissions(double factor, std::size_t fleet_size)
+{
+    const double times = factor * std::log2(static_cast<double>(fleet_size) + 1);
+    return std::max<std::size_t>(2, static_cast<std::size_t>(std::ceil(times)));
+}
+
+gossip_queue::gossip_queue(gossip_settings settings) : limits(settings) {}
+
+void gossip_queue::push(const upstream_record& record)
+{
+    this->upstreams.push(record.upstream, record, {}, this->limits.max_waiting);
+}
+
+void gossip_queue::push(const peer_card& card)
+{
+    this->cards.push(card.node, card, {}, this->limits.max_waiting);
+}
+
+void gossip_queue::push(const suspicion& doubt)
+{
+    this->suspicions.push(doubt.run, doubt, {}, this->limits.max_waiting);
+}
+
+void gossip_queue::withdraw_suspicion(incarnation run)
+{
+    this->suspicions.erase(run);
+}
+
+bool gossip_queue::note(const crash_report& report, time_point now)
+{
+    if (report.age > report_lifetime) {
+        return false;
+    }
+    this->forget_reports(now);
+    const time_point as_of = now - report.age;
+    const crash_key key{report.fingerprint, report.upstream};
+    const auto [known, inserted] = this->known_crashes.try_emplace(key, as_of);
+    if (!inserted) {
+        if (as_of < known->second + this->limits.repeat_interval) {
+            return false;
+        }
+        known->second = as_of;
+    }
+    this->crashes.push(key, report, as_of, this->limits.max_waiting);
+    return true;
+}
+
+bool gossip_queue::note(const ejection_report& report, time_point now)
+{
+    if (report.age > report_lifetime) {
+        return false;
+    }
+    this->forget_reports(now);
+    const time_point as_of = now - report.age;
+    const ejection_key key{report.upstream, report.reporter};
+    const auto [known, inserted] =
+        this->known_ejections.try_emplace(key, known_verdict{report.verdict, as_of});
+    if (!inserted) {
+        const bool repeated = known->second.verdict == report.verdict;
+        const duration needed = repeated ? this->limits.repeat_interval : duration{1};
+        if (as_of < known->second.as_of + needed) {
+            return false;
+        }
+        known->second = {report.verdict, as_of};
+    }
+    this->ejections.push(key, report, as_of, this->limits.max_waiting);
+    return true;
+}
+
+void gossip_queue::forget_reports(time_point now)
+{
+    if (now < this->next_forget) {
+        return;
+    }
+    this->next_forget = now + report_lifetime;
+    std::erase_if(this->known_crashes,
+                  [now](const auto& known) { return known.second + report_lifetime < now; });
+    std::erase_if(this->known_ejections,
+                  [now](const auto& known) { return known.second.as_of + report_lifetime < now; });
+}
+
+void gossip_queue::fill(message_body& body, std::size_t fleet_size, time_point now)
+{
+    const std::size_t times = retransmissions(this->limits.retransmit_factor, fleet_size);
+    for (auto& next : this->upstreams.take(this->limits.upstreams, times)) {
+        body.upstreams.push_back(std::move(next.entry));
+    }
+    for (auto& next : this->cards.take(this->limits.cards, times)) {
+        body.cards.push_back(std::move(next.entry));
+    }
+    for (auto& next : this->suspicions.take(this->limits.suspicions, times)) {
+        body.suspicions.push_back(next.entry);
+    }
+    for (auto& next : this->crashes.take(this->limits.crashes, times)) {
+        next.entry.age = now - next.as_of;
+        body.crashes.push_back(std::move(next.entry));
+    }
+    for (auto& next : this->ejections.take(this->limits.ejections, times)) {
+        next.entry.age = now - next.as_of;
+        body.ejections.push_back(std::move(next.entry));
+    }
+}
+
+bool gossip_queue::empty() const
+{
+    return this->upstreams.empty() && this->cards.empty() && this->suspicions.empty() &&
+           this->crashes.empty() && this->ejections.empty();
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/membership/message_seal.cpp
@@ -0,0 +1,115 @@
+#include "membership/message_seal.hpp"
+
+#include "core/digest.hpp"
+#include "core/failure.hpp"
+#include "membership/message_codec.hpp"
+
+#include <utility>
+
+namespace dragonflyroad {
+namespace {
+
+constexpr std::size_t signature_bytes = 16;
+/// Runs whose nonces are remembered: a fleet of 2,100 nodes with an hour of restarts. Beyond it all
+/// windows are forgotten; messages recorded for this run could then be replayed once.
+constexpr std::size_t max_windows = 16'384;
+
+std::string signature_of(std::string_view secret, std::string_view bytes)
+{
+    return hmac_sha256(secret, bytes).substr(0, signature_bytes);
+}
+
+} // namespace
+
+std::string_view to_code(peer_refusal refusal)
+{
+    constexpr std::array<std::string_view, peer_refusal_count> codes{
+        "too_long",  "wrong_signature",   "wrong_version",
+        "malformed", "wrong_destination", "replayed"};
+    return codes.at(static_cast<std::size_t>(refusal));
+}
+
+bool replay_window::accept(std::uint64_t nonce)
+{
+    if (!this->used || nonce > this->highest) {
+        const std::uint64_t shift = this->used ? nonce - this->highest : width;
+        this->seen = shift >= width ? std::bitset<width>{} : this->seen << shift;
+        this->seen.set(0);
+        this->highest = nonce;
+        this->used = true;
+        return true;
+    }
+    const std::uint64_t behind = this->highest - nonce;
+    if (behind >= width || this->seen.test(behind)) {
+        return false;
+    }
+    this->seen.set(behind);
+    return true;
+}
+
+message_seal::message_seal(std::string fleet_secret, incarnation run)
+    : secret(std::move(fleet_secret)), own_run(run)
+{
+}
+
+std::string message_seal::seal(peer_message& message) const
+{
+    std::string bytes = encode_message(message, max_datagram_bytes - signature_bytes);
+    bytes += signature_of(this->secret, bytes);
+    return bytes;
+}
+
+std::nullopt_t message_seal::refuse(peer_refusal refusal, std::string peer, std::string detail)
+{
+    ++this->refusals[static_cast<std::size_t>(refusal)];
+    return fail("open", std::move(peer), std::move(detail));
+}
+
+replay_window& message_seal::window_of(incarnation run)
+{
+    if (this->windows.size() >= max_windows && !this->windows.contains(run)) {
+        this->windows.clear();
+    }
+    return this->windows[run];
+}
+
+std::optional<peer_message> message_seal::open(std::string_view datagram)
+{
+    if (datagram.size() > max_datagram_bytes) {
+        return this->refuse(peer_refusal::too_long, "", "datagram too long");
+    }
+    if (datagram.size() <= signature_bytes) {
+        return this->refuse(peer_refusal::wrong_signature, "", "datagram without signature");
+    }
+    const std::string_view bytes = datagram.substr(0, datagram.size() - signature_bytes);
+    const std::string_view signature = datagram.substr(bytes.size());
+    if (!equal_in_constant_time(signature, signature_of(this->secret, bytes))) {
+        return this->refuse(peer_refusal::wrong_signature, "", "wrong signature");
+    }
+    std::optional<peer_message> message = decode_message(bytes);
+    if (!message) {
+        const failure reason = last_failure();
+        const bool other_version = reason.step == "version";
+        return this->refuse(other_version ? peer_refusal::wrong_version : peer_refusal::malformed,
+                            reason.peer, reason.detail);
+    }
+    const bool first_contact =
+        message->destination_run == 0 && std::holds_alternative<ping>(message->content);
+    if ((message->destination_run != this->own_run && !first_contact) ||
+        message->sender_run == this->own_run) {
+        return this->refuse(peer_refusal::wrong_destination, message->sender.value,
+                            "message for another run");
+    }
+    if (!this->window_of(message->sender_run).accept(message->nonce)) {
+        return this->refuse(peer_refusal::replayed, message->sender.value,
+                            "nonce used before or too old");
+    }
+    return message;
+}
+
+std::uint64_t message_seal::refused(peer_refusal refusal) const
+{
+    return this->refusals[static_cast<std::size_t>(refusal)];
+}
+
+} // namespace dragonflyroad
--- a/src/membership/peer_entry.hpp
+++ b/src/membership/peer_entry.hpp
@@ -57,6 +57,8 @@
     time_point first_miss;
     /// When a peer reported that nobody hears this one.
     std::optional<time_point> reported;
+    /// The version of the card that is suspected somewhere; the peer itself is told.
+    std::optional<std::uint64_t> suspected_version;
 
     /// Whether the peer was heard, directly or by another node, at `time` or later.
     bool heard_since(time_point time) const;
--- /dev/null
+++ b/src/membership/peer_table.cpp
@@ -0,0 +1,300 @@
+#include "membership/peer_table.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace dragonflyroad {
+namespace {
+
+/// Peers whose run is asked about in one ping.
+constexpr std::size_t max_questions = 4;
+/// Upper bound of the table, four times the target scale.
+constexpr std::size_t max_peers = 8'400;
+
+} // namespace
+
+peer_table::peer_table(peer_card self, std::vector<std::string> seed_addresses,
+                       peer_settings settings)
+    : own(std::move(self)),
+      seeds(std::move(seed_addresses)),
+      limits(settings),
+      rounds(settings.ping_interval)
+{
+    std::erase(this->seeds, this->own.datagram_address);
+    this->queue.push(this->own);
+}
+
+void peer_table::set_facts(local_facts value)
+{
+    this->facts = std::move(value);
+}
+
+tick_result peer_table::tick(time_point now, random_engine& random)
+{
+    tick_result result;
+    if (this->last_tick && now - *this->last_tick > this->limits.pause_gap) {
+        result.paused = now - *this->last_tick;
+        this->on_pause(now);
+    }
+    this->last_tick = now;
+    this->count_misses(now);
+    result.changes = std::exchange(this->replaced, {});
+    this->judge_all(now, result.changes);
+    if (now >= this->rounds.next()) {
+        this->forget(now);
+        this->send_round(now, random, result.messages);
+        this->rounds.sent(now);
+    }
+    return result;
+}
+
+void peer_table::on_pause(time_point now)
+{
+    this->pending.excuse_all();
+    for (auto& [node, peer] : this->entries) {
+        peer.misses = 0;
+        if (peer.state == peer_state::suspect) {
+            peer.since = now;
+        }
+    }
+}
+
+void peer_table::count_misses(time_point now)
+{
+    for (const pending_ping& missed :
+         this->pending.take_overdue(now - this->limits.ping_interval)) {
+        const auto found = this->entries.find(missed.node);
+        if (found == this->entries.end() ||
+            (found->second.two_way && *found->second.two_way >= missed.sent_at)) {
+            continue;
+        }
+        if (found->second.misses++ == 0) {
+            found->second.first_miss = missed.sent_at;
+        }
+    }
+    this->pending.forget(now - this->limits.alive_window);
+}
+
+void peer_table::judge_all(time_point now, std::vector<state_change>& changes)
+{
+    const duration refutation = this->refutation_time();
+    for (auto& [node, peer] : this->entries) {
+        const peer_state state = judge(peer, now, this->limits, refutation);
+        if (state == peer.state) {
+            continue;
+        }
+        changes.push_back({peer.card, peer.state, state});
+        peer.state = state;
+        peer.since = now;
+        if (state == peer_state::suspect && !peer.reported) {
+            peer.suspected_version = peer.card.version;
+            this->queue.push(suspicion{peer.card.run, peer.card.version});
+        }
+    }
+}
+
+void peer_table::forget(time_point now)
+{
+    for (auto next = this->entries.begin(); next != this->entries.end();) {
+        const peer_entry& peer = next->second;
+        const bool is_out = peer.state == peer_state::lost || peer.state == peer_state::left;
+        if (is_out && now - peer.since >= this->limits.forget_after) {
+            this->by_run.erase(peer.card.run);
+            next = this->entries.erase(next);
+        }
+        else {
+            ++next;
+        }
+    }
+}
+
+duration peer_table::refutation_time() const
+{
+    // Twice the rounds in which gossip reaches the whole fleet: once with the suspicion and once
+    // with the refutation.
+    const auto doublings = std::bit_width(this->fleet_size());
+    return 2 * doublings * this->limits.ping_interval;
+}
+
+void peer_table::send_round(time_point now, random_engine& random,
+                            std::vector<outgoing_message>& messages)
+{
+    this->acks_left = this->limits.max_acks_per_interval;
+    for (const node_id& node : this->schedule.next_round(this->entries, this->facts.witnesses,
+                                                         this->limits.pings_per_round, random)) {
+        messages.push_back(this->make_ping(this->entries.at(node), now));
+    }
+    if (!this->has_contact(now)) {
+        this->ping_next_seed(now, messages);
+    }
+}
+
+bool peer_table::has_contact(time_point now) const
+{
+    const time_point recent = now - this->limits.alive_window;
+    return std::any_of(this->entries.begin(), this->entries.end(), [recent](const auto& known) {
+        return known.second.two_way && *known.second.two_way >= recent;
+    });
+}
+
+void peer_table::ping_next_seed(time_point now, std::vector<outgoing_message>& messages)
+{
+    if (this->seeds.empty()) {
+        return;
+    }
+    peer_message message{this->own.node, this->own.run, 0, this->next_nonce++, ping{}};
+    message.body().cards.push_back(this->own);
+    this->pending.add(message.nonce, node_id{}, now);
+    messages.push_back({this->seeds[this->next_seed++ % this->seeds.size()], std::move(message)});
+}
+
+outgoing_message peer_table::make_ping(peer_entry& peer, time_point now)
+{
+    ping content{this->make_body(peer, now), {}, 0};
+    if (!peer.two_way || peer.misses > 0) {
+        content.body.cards.push_back(this->own);
+    }
+    for (const auto& [node, doubted] : this->entries) {
+        if (doubted.misses > 1 && doubted.state != peer_state::lost && &doubted != &peer &&
+            content.questions.size() < max_questions) {
+            content.questions.push_back(doubted.card.run);
+        }
+    }
+    peer.last_pinged = now;
+    peer_message message{this->own.node, this->own.run, peer.card.run, this->next_nonce++,
+                         std::move(content)};
+    this->pending.add(message.nonce, peer.card.node, now);
+    return {peer.card.datagram_address, std::move(message)};
+}
+
+outgoing_message peer_table::make_ack(const peer_entry& peer, std::uint64_t echo, time_point now)
+{
+    ack content{this->make_body(peer, now), echo, !this->facts.consented.contains(peer.card.run),
+                0};
+    if (!peer.two_way) {
+        content.body.cards.push_back(this->own);
+    }
+    return {peer.card.datagram_address, peer_message{this->own.node, this->own.run, peer.card.run,
+                                                     this->next_nonce++, std::move(content)}};
+}
+
+message_body peer_table::make_body(const peer_entry& peer, time_point now) const
+{
+    message_body body;
+    body.revision = this->facts.revision;
+    body.seat_version = this->facts.seat_version;
+    if (this->facts.store_proof) {
+        body.store_proof_age = now - *this->facts.store_proof;
+    }
+    if (this->facts.ledger_proof) {
+        body.ledger_proof_age = now - *this->facts.ledger_proof;
+    }
+    if (peer.received) {
+        body.heard.push_back({peer.card.run, now - *peer.received});
+    }
+    for (const incarnation run : this->recently_heard) {
+        const peer_entry* const heard = this->find(run);
+        if (heard != nullptr && heard != &peer && heard->received &&
+            body.heard.size() < this->limits.max_heard) {
+            body.heard.push_back({run, now - *heard->received});
+        }
+    }
+    if (peer.suspected_version) {
+        body.suspicions.push_back({peer.card.run, *peer.suspected_version});
+    }
+    return body;
+}
+
+bool peer_table::learn(const peer_card& card, time_point now)
+{
+    if (card.node == this->own.node) {
+        this->superseded = this->superseded || card.run > this->own.run;
+        return false;
+    }
+    const auto found = this->entries.find(card.node);
+    if (found == this->entries.end()) {
+        if (this->entries.size() >= max_peers) {
+            return false;
+        }
+        peer_entry& peer = this->entries[card.node];
+        peer.card = card;
+        peer.since = now;
+        peer.indirect = now;
+        this->by_run[card.run] = card.node;
+    }
+    else {
+        peer_entry& peer = found->second;
+        if (std::tie(card.run, card.version) <= std::tie(peer.card.run, peer.card.version)) {
+            return false;
+        }
+        this->replace_run(peer, card, now);
+    }
+    this->queue.push(card);
+    return true;
+}
+
+void peer_table::replace_run(peer_entry& peer, const peer_card& card, time_point now)
+{
+    this->queue.withdraw_suspicion(peer.card.run);
+    if (card.run != peer.card.run) {
+        this->replaced.push_back({peer.card, peer.state, peer_state::lost});
+        this->by_run.erase(peer.card.run);
+        this->by_run[card.run] = card.node;
+        peer = peer_entry{};
+        peer.since = now;
+    }
+    peer.card = card;
+    peer.indirect = now;
+    peer.misses = 0;
+    peer.reported.reset();
+    peer.suspected_version.reset();
+}
+
+void peer_table::leave(time_point now)
+{
+    this->own.leaving = true;
+    ++this->own.version;
+    this->queue.push(this->own);
+    this->request_round(now);
+}
+
+const peer_entry* peer_table::find(const node_id& node) const
+{
+    const auto found = this->entries.find(node);
+    return found == this->entries.end() ? nullptr : &found->second;
+}
+
+const peer_entry* peer_table::find(incarnation run) const
+{
+    const auto found = this->by_run.find(run);
+    return found == this->by_run.end() ? nullptr : this->find(found->second);
+}
+
+peer_entry* peer_table::entry_of(incarnation run)
+{
+    const auto found = this->by_run.find(run);
+    return found == this->by_run.end() ? nullptr : &this->entries.at(found->second);
+}
+
+std::vector<peer_card> peer_table::cards() const
+{
+    std::vector<peer_card> known{this->own};
+    for (const auto& [node, peer] : this->entries) {
+        if (peer.state != peer_state::lost && peer.state != peer_state::left) {
+            known.push_back(peer.card);
+        }
+    }
+    return known;
+}
+
+std::size_t peer_table::fleet_size() const
+{
+    const auto present =
+        std::count_if(this->entries.begin(), this->entries.end(), [](const auto& known) {
+            return known.second.state != peer_state::lost && known.second.state != peer_state::left;
+        });
+    return static_cast<std::size_t>(present) + 1;
+}
+
+} // namespace dragonflyroad
--- a/src/membership/peer_table.hpp
+++ b/src/membership/peer_table.hpp
@@ -6,7 +6,10 @@
 #include "membership/gossip_queue.hpp"
 #include "membership/messages.hpp"
 #include "membership/peer_entry.hpp"
+#include "membership/pending_pings.hpp"
 #include "membership/ping_schedule.hpp"
+#include "membership/relayed_questions.hpp"
+#include "membership/round_timer.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -91,15 +94,15 @@
     /// shortly after; a call more than the pause gap late counts as a pause of this node.
     tick_result tick(time_point now, random_engine& random);
     /// When tick() has to be called next. Earlier after request_round().
-    time_point next_tick() const;
+    time_point next_tick() const { return this->rounds.next(); }
 
-    /// Takes a verified message that arrived from `address`.
-    message_result on_message(const peer_message& message, const std::string& address,
-                              time_point now, random_engine& random);
+    /// Takes a verified message. Answers go to the address in the sender's card, which is signed,
+    /// unlike the address that a datagram came from.
+    message_result on_message(const peer_message& message, time_point now, random_engine& random);
 
     /// Brings the next round forward, for news that cannot wait. Additional rounds are limited to
     /// one for every two regular ones; two can be saved up.
-    void request_round(time_point now);
+    void request_round(time_point now) { this->rounds.request(now); }
 
     /// Takes a card from gossip or from a peer's list; true when it was newer than the known one.
     bool learn(const peer_card& card, time_point now);
@@ -121,44 +124,34 @@
     gossip_queue& gossip() { return this->queue; }
 
 private:
-    struct pending_ping {
-        node_id node;
-        time_point sent_at;
-        bool counted = false;
-    };
-    /// A peer asked about a third node that has not answered yet.
-    struct open_question {
-        node_id asker;
-        std::uint64_t echo = 0;
-        incarnation about = 0;
-        time_point expires;
-    };
-
     void on_pause(time_point now);
     void count_misses(time_point now);
     void judge_all(time_point now, std::vector<state_change>& changes);
+    void forget(time_point now);
     void send_round(time_point now, random_engine& random, std::vector<outgoing_message>& messages);
-    void ping_seeds(time_point now, std::vector<outgoing_message>& messages);
-    outgoing_message make_ping(peer_entry* peer, const std::string& address, time_point now);
-    message_result on_ping(const peer_message& message, const std::string& address, time_point now,
+    void ping_next_seed(time_point now, std::vector<outgoing_message>& messages);
+    bool has_contact(time_point now) const;
+    outgoing_message make_ping(peer_entry& peer, time_point now);
+    outgoing_message make_ack(const peer_entry& peer, std::uint64_t echo, time_point now);
+    message_body make_body(const peer_entry& peer, time_point now) const;
+
+    message_result on_ping(const peer_message& message, const ping& content, time_point now,
                            random_engine& random);
-    message_result on_ack(const peer_message& message, const std::string& address, time_point now);
+    message_result on_ack(const peer_message& message, const ack& content, time_point now);
     peer_entry* sender_of(const peer_message& message, time_point now);
-    outgoing_message make_ack(const std::string& address, incarnation run, std::uint64_t echo,
-                              const peer_entry* peer, time_point now);
-    message_body make_body(const peer_entry* peer, time_point now);
-    void add_heard(message_body& body, incarnation run, time_point now) const;
-    void add_sample(message_body& body, random_engine& random) const;
+    void note_received(peer_entry& peer, time_point now);
+    static void note_two_way(peer_entry& peer, time_point proved_at);
     void take_heard(const message_body& body, time_point proved_at);
     void take_news(const message_body& body, time_point now);
     void take_suspicion(const suspicion& doubt, time_point now);
-    void take_questions(const ping& content, const peer_message& message, time_point now);
-    void answer_questions(const peer_entry& about, time_point now,
-                          std::vector<outgoing_message>& messages);
-    void note_received(peer_entry& peer, time_point now);
-    void forget(time_point now);
+    void answer_questions(const ping& content, const relayed_question& asked, ack& answer,
+                          time_point now);
+    void pass_answers(const peer_entry& about, time_point now,
+                      std::vector<outgoing_message>& messages);
+    void add_sample(message_body& body, random_engine& random) const;
+    void replace_run(peer_entry& peer, const peer_card& card, time_point now);
+    peer_entry* entry_of(incarnation run);
     duration refutation_time() const;
-    peer_entry* entry_of(const node_id& node);
 
     peer_card own;
     std::vector<std::string> seeds;
@@ -168,14 +161,15 @@
     std::unordered_map<incarnation, node_id> by_run;
     gossip_queue queue;
     ping_schedule schedule;
-    std::map<std::uint64_t, pending_ping> pending;
-    std::deque<open_question> open_questions;
+    round_timer rounds;
+    pending_pings pending;
+    relayed_questions questions;
+    /// Changes that happened between two ticks.
+    std::vector<state_change> replaced;
     /// Runs by the time of their latest message, newest first; bounded.
     std::deque<incarnation> recently_heard;
     std::uint64_t next_nonce = 1;
     std::optional<time_point> last_tick;
-    time_point next_round;
-    time_point urgent_credit_from;
     std::size_t acks_left = 0;
     std::size_t next_seed = 0;
     bool superseded = false;
--- a/src/membership/ping_schedule.hpp
+++ b/src/membership/ping_schedule.hpp
@@ -24,6 +24,7 @@
     void request(const node_id& node);
 
 private:
+    static const peer_entry* next_doubted(const std::map<node_id, peer_entry>& peers);
     const peer_entry* next_shuffled(const std::map<node_id, peer_entry>& peers,
                                     random_engine& random);
     void refill(const std::map<node_id, peer_entry>& peers, random_engine& random);
@@ -31,8 +32,6 @@
     std::vector<node_id> order;
     std::deque<node_id> requested;
     std::size_t next_witness = 0;
-    std::size_t next_doubted = 0;
-    std::size_t passes = 0;
 };
 
 } // namespace dragonflyroad
