--- /dev/null
+++ b/bench/model/shapes.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dragonflyroad::bench {
+
+/// One service of a deployment.
+struct service_shape {
+    std::string deployment;
+    std::string service;
+    std::size_t upstreams = 6;
+    std::uint32_t slots = 7;
+    /// One way between data centres.
+    duration link{0};
+};
+
+/// The services of `ledgerworks` and `siamcite` as section 1 of the design page gives them.
+const std::vector<service_shape>& service_shapes();
+
+/// The services of one deployment.
+std::vector<service_shape> service_shapes(const std::string& deployment);
+
+/// The names of both deployments.
+const std::vector<std::string>& deployment_names();
+
+} // namespace dragonflyroad::bench
--- a/src/routing/ejection.cpp
+++ b/src/routing/ejection.cpp
@@ -27,6 +27,10 @@
 constexpr double suspicion_worth_telling = 4;
 // Own suspicion that, with two peers' agreement, suffices to act.
 constexpr double suspicion_with_peers = 8;
+// Suspicion from which further requests are sent to verify it: one bad request of a service that is
+// rarely bad. Three at once suffice to reach the ejection limit.
+constexpr double suspicion_to_verify = 2.5;
+constexpr std::int32_t verifications_at_once = 3;
 constexpr std::size_t largest_evidence_list = 16;
 constexpr double default_floor = 0.5;
 
@@ -228,6 +232,20 @@
     }
 }
 
+// Asks for requests that prove or clear a suspicion of this node or of a peer.
+void ejection_controller::verify(const upstream_assessment& seen, const record& known,
+                                 time_point now)
+{
+    const bool is_rotating =
+        known.step == ejection_step::healthy || known.step == ejection_step::reduced;
+    const bool is_wanted = is_rotating && (seen.suspicion >= suspicion_to_verify ||
+                                           known.step == ejection_step::reduced ||
+                                           ask_peers(known, now - evidence_lifetime, now).bad > 0);
+    seen.upstream->verify_fresh.store(is_wanted);
+    seen.upstream->verifications.store(
+        is_wanted ? verifications_at_once - static_cast<std::int32_t>(seen.verifying) : 0);
+}
+
 void ejection_controller::step_one(round& current, const upstream_assessment& seen, record& known)
 {
     known.suspicion = seen.suspicion;
@@ -306,7 +324,9 @@
               [](const auto& left, const auto& right) { return left.suspicion > right.suspicion; });
     for (const upstream_assessment& seen : current.assessments) {
         if (is_ready(seen)) {
-            this->step_one(current, seen, current.state.records[seen.upstream->id]);
+            record& known = current.state.records[seen.upstream->id];
+            this->step_one(current, seen, known);
+            verify(seen, known, current.now);
         }
         update_concurrency_limit(*seen.upstream, seen.upstream->reference->median(), seen.has_shed);
     }
--- a/src/routing/ejection.hpp
+++ b/src/routing/ejection.hpp
@@ -124,6 +124,7 @@
     void step_probation(round& current, const upstream_assessment& seen, record& known);
     void eject(round& current, const upstream_assessment& seen, record& known);
     void restore_floor(round& current);
+    static void verify(const upstream_assessment& seen, const record& known, time_point now);
     void update_scope(const upstream_assessment& seen, record& known, time_point now);
     void move(round& current, const upstream_assessment& seen, record& known, ejection_step step);
     bool may_eject(round& current, const upstream_assessment& seen);
--- a/src/routing/latency_histogram.cpp
+++ b/src/routing/latency_histogram.cpp
@@ -48,12 +48,16 @@
     if (this->sum <= 0) {
         return duration::zero();
     }
+    const double wanted = share * this->sum;
     double below = 0;
     for (std::size_t bin = 0; bin < latency_bins; ++bin) {
-        below += this->counts.at(bin);
-        if (below >= share * this->sum) {
-            return latency_bin_limit(bin);
+        const double count = this->counts.at(bin);
+        if (count > 0 && below + count >= wanted) {
+            const duration lower = bin == 0 ? duration::zero() : latency_bin_limit(bin - 1);
+            const auto width = static_cast<double>((latency_bin_limit(bin) - lower).count());
+            return lower + duration{static_cast<std::int64_t>(width * (wanted - below) / count)};
         }
+        below += count;
     }
     return latency_bin_limit(latency_bins - 1);
 }
--- a/src/routing/latency_histogram.hpp
+++ b/src/routing/latency_histogram.hpp
@@ -31,7 +31,8 @@
 
     double total() const { return this->sum; }
 
-    /// The upper limit of the bin that holds the share `share` (0 to 1); zero without samples.
+    /// The latency below which the share `share` (0 to 1) lies, interpolated within a bin; zero
+    /// without samples.
     duration quantile(double share) const;
 
     /// The share of samples above `latency`, 0 to 1; zero without samples.
--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -159,6 +159,7 @@
     const duration limit = is_cold ? cold_factor * stick.slow_above : stick.slow_above;
     for (const waiting_request& request : this->waiting) {
         const duration age = now - request.began;
+        found.verifying += request.mark.reused_connection ? 0 : 1;
         const std::uint64_t bit = to_bit(request.mark.fingerprint);
         if (age <= limit || request.began < upstream.evidence_from() ||
             (found.fingerprints & bit) != 0) {
@@ -217,7 +218,10 @@
         known.bad_since = std::min(overdue.earliest, now);
     }
     result.bad_since = known.is_suspected ? known.bad_since : now;
-    upstream->verify_fresh.store(pooled >= 2);
+    result.verifying = overdue.verifying;
+    if (counts.fast + counts.slow == 0) {
+        upstream->statistics.relax_smoothed_latency(upstream->reference->median());
+    }
     if ((upstream->step.load() == ejection_step::healthy &&
          result.suspicion < suspicion_to_reduce && !is_cold) ||
         stick.is_service_slow || this->reference.total() < samples_needed) {
--- a/src/routing/outlier_detector.hpp
+++ b/src/routing/outlier_detector.hpp
@@ -31,6 +31,8 @@
     std::uint32_t bad = 0;
     /// Requests in flight for longer than an ordinary latency.
     std::uint32_t overdue = 0;
+    /// Requests in flight on fresh connections, overdue or not.
+    std::uint32_t verifying = 0;
     /// Responses of ordinary latency within about the last 2 s.
     double recent_good = 0;
     /// Start of the earliest request that counts against the upstream.
@@ -88,6 +90,8 @@
         std::uint64_t fingerprints = 0;
         std::uint64_t organisations = 0;
         std::uint32_t overdue = 0;
+        /// Requests on fresh connections, overdue or not.
+        std::uint32_t verifying = 0;
         time_point earliest;
     };
 
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -1,5 +1,7 @@
 #include "routing/picker.hpp"
 
+#include "routing/concurrency_limit.hpp"
+
 #include <algorithm>
 
 namespace dragonflyroad {
@@ -27,6 +29,11 @@
            step != ejection_step::ejected && !is_excluded(upstream, request);
 }
 
+bool is_verified(const upstream_entry& upstream, const pick_request& request)
+{
+    return request.is_repeatable && upstream.verifications.load(relaxed) > 0;
+}
+
 bool can_take(const upstream_entry& upstream, const pick_request& request, time_point now)
 {
     if (!is_usable(upstream, request)) {
@@ -37,7 +44,9 @@
         return upstream.in_flight.load(relaxed) == 0 &&
                now >= due + (request.is_repeatable ? duration::zero() : unsafe_probe_delay);
     }
-    return upstream.in_flight.load(relaxed) < upstream.limit.load(relaxed);
+    return upstream.in_flight.load(relaxed) < (is_verified(upstream, request)
+                                                   ? largest_limit(upstream.slots.load(relaxed))
+                                                   : upstream.limit.load(relaxed));
 }
 
 // Expected waiting, in arbitrary units. An upstream without samples counts as the median one.
@@ -88,6 +97,9 @@
         if (&candidate == first || !can_take(*candidate, request, now)) {
             continue;
         }
+        if (is_verified(*candidate, request)) {
+            return candidate;
+        }
         if (first != nullptr) {
             return cost(*candidate, now) < cost(**first, now) ? candidate : *first;
         }
--- a/src/routing/picker.hpp
+++ b/src/routing/picker.hpp
@@ -28,8 +28,8 @@
 /// Picks an upstream by power of two choices: of two random ones, the one with less expected
 /// waiting, (in flight + 1) x latency / (slots x weight). Draining, expired and ejected upstreams,
 /// those at their concurrency limit and excluded ones are never picked. An upstream in probation is
-/// preferred when a probe is due. Returns null when none can take work
-/// now.
+/// preferred when a probe is due, and one to be verified is preferred for repeatable requests.
+/// Returns null when none can take work now.
 std::shared_ptr<upstream_entry> pick(const service_view& view, const pick_request& request,
                                      random_engine& random, time_point now);
 
--- a/src/routing/upstream_set.cpp
+++ b/src/routing/upstream_set.cpp
@@ -8,6 +8,8 @@
 namespace dragonflyroad {
 namespace {
 
+constexpr auto relaxed = std::memory_order_relaxed;
+
 // Tracked ages per upstream: twice its largest limit, so that a change of the announced slots needs
 // no new table.
 std::uint32_t tracked_requests(std::uint32_t slots)
@@ -38,14 +40,14 @@
 // Takes a place below `limit`; the loop only repeats when another thread took or freed one.
 bool take_place(upstream_entry& entry, std::uint32_t limit)
 {
-    std::uint32_t count = entry.in_flight.load(std::memory_order_relaxed);
+    std::uint32_t count = entry.in_flight.load(relaxed);
     do {
         if (count >= limit) {
             return false;
         }
-    } while (!entry.in_flight.compare_exchange_weak(count, count + 1, std::memory_order_relaxed));
-    if (entry.in_flight_peak.load(std::memory_order_relaxed) < count + 1) {
-        entry.in_flight_peak.store(count + 1, std::memory_order_relaxed);
+    } while (!entry.in_flight.compare_exchange_weak(count, count + 1, relaxed));
+    if (entry.in_flight_peak.load(relaxed) < count + 1) {
+        entry.in_flight_peak.store(count + 1, relaxed);
     }
     return true;
 }
@@ -72,8 +74,8 @@
       reference(std::move(service_reference)),
       slots(announcement.slots),
       state(announcement.state),
-      cold_since_ns(now.time_since_epoch().count()),
-      ramp_since_ns(now.time_since_epoch().count()),
+      cold_since_ns((now - announcement.age).time_since_epoch().count()),
+      ramp_since_ns((now - announcement.age).time_since_epoch().count()),
       limit(largest_limit(announcement.slots)),
       statistics(tracked_requests(announcement.slots))
 {
@@ -152,20 +154,25 @@
 std::optional<exchange> upstream_set::begin(const std::shared_ptr<upstream_entry>& upstream,
                                             const request_mark& mark, time_point now)
 {
-    const ejection_step step = upstream->step.load(std::memory_order_relaxed);
-    if (upstream->state.load(std::memory_order_relaxed) != upstream_state::ready ||
-        step == ejection_step::ejected) {
+    const ejection_step step = upstream->step.load(relaxed);
+    if (upstream->state.load(relaxed) != upstream_state::ready || step == ejection_step::ejected) {
         return fail("begin", upstream->id.value, "the upstream takes no new work");
     }
     const bool is_probe = step == ejection_step::probation;
-    const std::uint32_t limit = is_probe ? 1 : upstream->limit.load(std::memory_order_relaxed);
+    const bool verifies = mark.is_repeatable && upstream->verifications.load(relaxed) > 0;
+    const std::uint32_t limit = is_probe   ? 1
+                                : verifies ? largest_limit(upstream->slots.load(relaxed))
+                                           : upstream->limit.load(relaxed);
     if (!take_place(*upstream, limit)) {
         return fail("begin", upstream->id.value, "the upstream is at its concurrency limit");
     }
     if (is_probe && !take_probe(*upstream, now)) {
-        upstream->in_flight.fetch_sub(1, std::memory_order_relaxed);
+        upstream->in_flight.fetch_sub(1, relaxed);
         return fail("begin", upstream->id.value, "the upstream is in probation");
     }
+    if (verifies) {
+        upstream->verifications.fetch_sub(1, relaxed);
+    }
     return exchange{upstream, upstream->statistics.begin(mark, now), mark, now, std::nullopt};
 }
 
@@ -187,7 +194,7 @@
         upstream.statistics.finish(running.place, running.mark, running.began, latency, outcome,
                                    upstream.reference->slow_above());
     }
-    upstream.in_flight.fetch_sub(1, std::memory_order_relaxed);
+    upstream.in_flight.fetch_sub(1, relaxed);
 }
 
 } // namespace dragonflyroad
--- a/src/routing/upstream_set.hpp
+++ b/src/routing/upstream_set.hpp
@@ -30,6 +30,9 @@
     service_name service;
     std::uint32_t slots = 1;
     upstream_state state = upstream_state::ready;
+    /// How long it had been announced when this node first heard of it; zero when it has just
+    /// started. A node that starts later than the upstream must not take it for cold.
+    duration age{0};
 };
 
 /// The request path's view of how latencies of one service are to be judged; written by the
@@ -70,8 +73,12 @@
     std::atomic<std::uint32_t> in_flight_peak{0};
     /// In probation, the earliest time of the next request, ns.
     std::atomic<std::int64_t> next_probe_ns{0};
-    /// Send the next requests on fresh connections: pooled ones look unresponsive.
+    /// Requests are to be sent on fresh connections: pooled ones may be unresponsive.
     std::atomic<bool> verify_fresh{false};
+    /// Repeatable requests to be sent here in preference to other upstreams, to verify a
+    /// suspicion. Without them, power of two choices starves a suspected upstream of the requests
+    /// that would prove or clear it.
+    std::atomic<std::int32_t> verifications{0};
     upstream_statistics statistics;
 
     time_point cold_since() const { return time_point{duration{this->cold_since_ns.load()}}; }
@@ -113,8 +120,9 @@
     /// All services, for the controllers' ticks.
     std::vector<std::shared_ptr<const service_view>> views() const;
 
-    /// Starts a request. Returns nothing (step `begin`) when the upstream is unknown, draining, or
-    /// at its concurrency limit, or ejected, since it was picked: pick again.
+    /// Starts a request. A repeatable one serves as verification if one is wanted. Returns nothing
+    /// (step `begin`) when the upstream is unknown, draining, or at its concurrency limit, or
+    /// ejected, since it was picked: pick again.
     std::optional<exchange> begin(const service_name& service, const upstream_id& upstream,
                                   const request_mark& mark, time_point now) const;
 
--- a/src/routing/upstream_statistics.cpp
+++ b/src/routing/upstream_statistics.cpp
@@ -135,6 +135,15 @@
     }
 }
 
+void upstream_statistics::relax_smoothed_latency(duration usual)
+{
+    constexpr std::int64_t steps = 16;
+    const std::int64_t smoothed = this->smoothed_ns.load(relaxed);
+    if (smoothed > usual.count() && usual > duration::zero()) {
+        this->smoothed_ns.store(smoothed - (smoothed - usual.count()) / steps, relaxed);
+    }
+}
+
 time_point upstream_statistics::last_good_start() const
 {
     return time_point{duration{this->last_good_start_ns.load(relaxed)}};
--- a/src/routing/upstream_statistics.hpp
+++ b/src/routing/upstream_statistics.hpp
@@ -39,6 +39,7 @@
     std::uint64_t fingerprint = 0;
     std::uint64_t organisation = 0;
     bool reused_connection = false;
+    bool is_repeatable = false;
 };
 
 /// Counts since the previous harvest. The bit sets hold one bit per hash value modulo 64.
@@ -94,8 +95,9 @@
     /// Smoothed latency of successful requests, zero without samples.
     duration smoothed_latency() const { return duration{this->smoothed_ns.load(relaxed)}; }
 
-    /// Gives the smoothed latency a value that the picker may start from.
-    void reset_smoothed_latency(duration latency) { this->smoothed_ns.store(latency.count()); }
+    /// Moves the smoothed latency towards `usual` while there are no samples; otherwise one slow
+    /// response would keep the picker away for good.
+    void relax_smoothed_latency(duration usual);
 
 private:
     static constexpr auto relaxed = std::memory_order_relaxed;
