--- a/src/routing/ejection.cpp
+++ b/src/routing/ejection.cpp
@@ -147,10 +147,9 @@
     known.probes_good = 0;
     known.probes_bad = 0;
     const std::int64_t now_ns = current.now.time_since_epoch().count();
-    if (step == ejection_step::probation || step == ejection_step::healthy) {
-        current.state.detector.clear(seen.upstream, current.now);
-    }
     if (step == ejection_step::probation) {
+        // What was in flight when it was ejected says nothing about now.
+        current.state.detector.clear(seen.upstream, current.now);
         seen.upstream->next_probe_ns.store(now_ns);
     }
     seen.upstream->step.store(step);
@@ -242,8 +241,27 @@
                                            known.step == ejection_step::reduced ||
                                            ask_peers(known, now - evidence_lifetime, now).bad > 0);
     seen.upstream->verify_fresh.store(is_wanted);
+    // All three may come from one organisation; two more are then likely to come from another.
+    const std::int32_t wanted = seen.suspicion >= suspicion_to_eject && !seen.is_conclusive
+                                    ? verifications_at_once + 2
+                                    : verifications_at_once;
     seen.upstream->verifications.store(
-        is_wanted ? verifications_at_once - static_cast<std::int32_t>(seen.verifying) : 0);
+        is_wanted ? wanted - static_cast<std::int32_t>(seen.verifying) : 0);
+}
+
+// Takes turns between the upstreams that wait for a request.
+void ejection_controller::set_preferred(round& current)
+{
+    const auto& upstreams = current.view->upstreams;
+    for (std::size_t step = 1; step <= upstreams.size(); ++step) {
+        const auto place = (current.state.preferred + step) % upstreams.size();
+        if (upstreams[place]->verifications.load() > 0 ||
+            upstreams[place]->step.load() == ejection_step::probation) {
+            current.state.preferred = static_cast<std::uint32_t>(place);
+            current.view->reference->preferred.store(current.state.preferred);
+            return;
+        }
+    }
 }
 
 void ejection_controller::step_one(round& current, const upstream_assessment& seen, record& known)
@@ -331,6 +349,7 @@
         update_concurrency_limit(*seen.upstream, seen.upstream->reference->median(), seen.has_shed);
     }
     this->restore_floor(current);
+    set_preferred(current);
 }
 
 std::vector<ejection_change>
@@ -351,6 +370,7 @@
         const auto floor = floors.find(name);
         rounds.push_back({state,
                           state.detector.assess(*view, state.is_slow, now),
+                          view,
                           floor == floors.end() ? default_floor : floor->second,
                           {},
                           now});
--- a/src/routing/ejection.hpp
+++ b/src/routing/ejection.hpp
@@ -102,6 +102,7 @@
         outlier_detector detector;
         std::map<upstream_id, record> records;
         bool is_slow = false;
+        std::uint32_t preferred = 0;
     };
 
     struct peer_opinion {
@@ -113,6 +114,7 @@
     struct round {
         service_state& state;
         std::vector<upstream_assessment> assessments;
+        std::shared_ptr<const service_view> view;
         double floor = 0.5;
         std::vector<ejection_change> changes;
         time_point now;
@@ -124,6 +126,7 @@
     void step_probation(round& current, const upstream_assessment& seen, record& known);
     void eject(round& current, const upstream_assessment& seen, record& known);
     void restore_floor(round& current);
+    static void set_preferred(round& current);
     static void verify(const upstream_assessment& seen, const record& known, time_point now);
     void update_scope(const upstream_assessment& seen, record& known, time_point now);
     void move(round& current, const upstream_assessment& seen, record& known, ejection_step step);
--- a/src/routing/ejection_step.hpp
+++ b/src/routing/ejection_step.hpp
@@ -11,7 +11,7 @@
     reduced,
     /// No work.
     ejected,
-    /// A few real requests, one at a time, decide whether it returns.
+    /// A few real requests, a pause apart, decide whether it returns.
     probation,
 };
 
--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -22,6 +22,7 @@
 // Evidence from pooled connections alone stays below the ejection limit: it may be the fault of the
 // connections, which a fresh one shows.
 constexpr double largest_pooled_suspicion = 0.6 * suspicion_to_eject;
+constexpr std::size_t least_requests = 3;
 constexpr double samples_needed = 50;
 // Share of bad requests at a faulty upstream; a tenfold slowdown and a stall reach more.
 constexpr double faulty_bad_share = 0.6;
@@ -159,20 +160,20 @@
     const duration limit = is_cold ? cold_factor * stick.slow_above : stick.slow_above;
     for (const waiting_request& request : this->waiting) {
         const duration age = now - request.began;
-        found.verifying += request.mark.reused_connection ? 0 : 1;
-        const std::uint64_t bit = to_bit(request.mark.fingerprint);
-        if (age <= limit || request.began < upstream.evidence_from() ||
-            (found.fingerprints & bit) != 0) {
+        const bool is_evidence = request.began >= upstream.evidence_from();
+        found.verifying += is_evidence && !request.mark.reused_connection ? 1 : 0;
+        if (age <= limit || !is_evidence ||
+            std::find(found.fingerprints.begin(), found.fingerprints.end(),
+                      request.mark.fingerprint) != found.fingerprints.end()) {
             continue;
         }
         // A sound upstream has a request this old as often as the service's tail says.
         const double tail = std::max({this->reference.share_above(age), least_tail_share,
                                       stick.bad_share > 0.5 ? stick.bad_share : 0.0});
         (request.mark.reused_connection ? found.pooled : found.fresh) += -std::log(tail);
-        found.fingerprints |= bit;
+        found.fingerprints.push_back(request.mark.fingerprint);
         found.organisations |= to_bit(request.mark.organisation);
         found.earliest = std::min(found.earliest, request.began);
-        ++found.overdue;
     }
     return found;
 }
@@ -196,17 +197,21 @@
     result.suspicion = std::min(known.suspicion + overdue.fresh + pooled, largest_suspicion);
     result.good = counts.fast;
     result.bad = bad;
-    result.overdue = overdue.overdue;
+    result.overdue = static_cast<std::uint32_t>(overdue.fingerprints.size());
     result.recent_good = known.recent_good;
     result.has_shed = counts.shed != 0;
 
-    const std::uint64_t fingerprints =
-        known.bad_fingerprints[0] | known.bad_fingerprints[1] | overdue.fingerprints;
+    std::uint64_t fingerprints = known.bad_fingerprints[0] | known.bad_fingerprints[1];
+    for (const std::uint64_t fingerprint : overdue.fingerprints) {
+        fingerprints |= to_bit(fingerprint);
+    }
+    const std::size_t distinct =
+        std::max<std::size_t>(std::popcount(fingerprints), overdue.fingerprints.size());
     const std::uint64_t organisations =
         known.bad_organisations[0] | known.bad_organisations[1] | overdue.organisations;
     const std::uint64_t all = known.all_organisations[0] | known.all_organisations[1];
     const bool has_several = std::popcount(all | organisations) > 1;
-    result.is_conclusive = std::popcount(fingerprints) >= 3 &&
+    result.is_conclusive = distinct >= least_requests &&
                            (std::popcount(organisations) >= 2 || !has_several) &&
                            known.suspicion + overdue.fresh > 0;
     if (result.suspicion < 1) {
--- a/src/routing/outlier_detector.hpp
+++ b/src/routing/outlier_detector.hpp
@@ -87,9 +87,8 @@
     struct waiting_evidence {
         double fresh = 0;
         double pooled = 0;
-        std::uint64_t fingerprints = 0;
+        std::vector<std::uint64_t> fingerprints;
         std::uint64_t organisations = 0;
-        std::uint32_t overdue = 0;
         /// Requests on fresh connections, overdue or not.
         std::uint32_t verifying = 0;
         time_point earliest;
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -9,6 +9,8 @@
 
 constexpr auto relaxed = std::memory_order_relaxed;
 constexpr double reduced_weight = 0.25;
+// Probes are sent by preference; other choices need not find the upstream.
+constexpr double probation_weight = 0.01;
 constexpr double coldest_weight = 0.1;
 // Random draws before the list is searched from a random place.
 constexpr int draws = 6;
@@ -41,14 +43,21 @@
     }
     if (upstream.step.load(relaxed) == ejection_step::probation) {
         const time_point due{duration{upstream.next_probe_ns.load(relaxed)}};
-        return upstream.in_flight.load(relaxed) == 0 &&
-               now >= due + (request.is_repeatable ? duration::zero() : unsafe_probe_delay);
+        return now >= due + (request.is_repeatable ? duration::zero() : unsafe_probe_delay);
     }
     return upstream.in_flight.load(relaxed) < (is_verified(upstream, request)
                                                    ? largest_limit(upstream.slots.load(relaxed))
                                                    : upstream.limit.load(relaxed));
 }
 
+// Whether the upstream waits for this request to verify or probe it.
+bool is_preferred(const upstream_entry& upstream, const pick_request& request, time_point now)
+{
+    return can_take(upstream, request, now) &&
+           (is_verified(upstream, request) ||
+            upstream.step.load(relaxed) == ejection_step::probation);
+}
+
 // Expected waiting, in arbitrary units. An upstream without samples counts as the median one.
 double cost(const upstream_entry& upstream, time_point now)
 {
@@ -75,8 +84,7 @@
     case ejection_step::ejected:
         return 0;
     case ejection_step::probation:
-        // A due probe wins against any other choice; begin() keeps probes apart.
-        return 1e6;
+        return probation_weight;
     }
     const duration warm = now - upstream.ramp_since();
     if (warm >= slow_start) {
@@ -91,15 +99,16 @@
                                      random_engine& random, time_point now)
 {
     const std::size_t size = view.upstreams.size();
+    const std::size_t preferred = view.reference->preferred.load(relaxed);
+    if (preferred < size && is_preferred(*view.upstreams[preferred], request, now)) {
+        return view.upstreams[preferred];
+    }
     const std::shared_ptr<upstream_entry>* first = nullptr;
     for (int draw = 0; draw < draws && size > 0; ++draw) {
         const auto& candidate = view.upstreams[uniform_index(random, size)];
         if (&candidate == first || !can_take(*candidate, request, now)) {
             continue;
         }
-        if (is_verified(*candidate, request)) {
-            return candidate;
-        }
         if (first != nullptr) {
             return cost(*candidate, now) < cost(**first, now) ? candidate : *first;
         }
--- a/src/routing/upstream_set.cpp
+++ b/src/routing/upstream_set.cpp
@@ -8,6 +8,7 @@
 namespace dragonflyroad {
 namespace {
 
+constexpr std::uint32_t no_limit = std::numeric_limits<std::uint32_t>::max();
 constexpr auto relaxed = std::memory_order_relaxed;
 
 // Tracked ages per upstream: twice its largest limit, so that a change of the announced slots needs
@@ -56,7 +57,6 @@
 // requests per probation, a sound one passes within a second.
 constexpr std::chrono::milliseconds probe_pause{100};
 
-// In probation one request at a time, `probe_pause` apart.
 bool take_probe(upstream_entry& entry, time_point now)
 {
     std::int64_t next = entry.next_probe_ns.load();
@@ -159,8 +159,10 @@
         return fail("begin", upstream->id.value, "the upstream takes no new work");
     }
     const bool is_probe = step == ejection_step::probation;
+    // Requests that hang since before the ejection must not keep probes away, so only their pace is
+    // limited.
     const bool verifies = mark.is_repeatable && upstream->verifications.load(relaxed) > 0;
-    const std::uint32_t limit = is_probe   ? 1
+    const std::uint32_t limit = is_probe   ? no_limit
                                 : verifies ? largest_limit(upstream->slots.load(relaxed))
                                            : upstream->limit.load(relaxed);
     if (!take_place(*upstream, limit)) {
--- a/src/routing/upstream_set.hpp
+++ b/src/routing/upstream_set.hpp
@@ -43,6 +43,10 @@
     /// Median latency over the last half minute; zero until enough has been seen.
     std::atomic<std::int64_t> median_ns{0};
 
+    /// Place in the view of an upstream that waits for a verification or probe, so that the picker
+    /// finds it among many. Only a hint.
+    std::atomic<std::uint32_t> preferred{0};
+
     duration slow_above() const { return duration{this->slow_above_ns.load()}; }
     duration median() const { return duration{this->median_ns.load()}; }
 };
