--- a/src/routing/ejection.cpp
+++ b/src/routing/ejection.cpp
@@ -27,6 +27,10 @@
 constexpr double suspicion_worth_telling = 4;
 // Own suspicion that, with two peers' agreement, suffices to act.
 constexpr double suspicion_with_peers = 8;
+// Suspicion from which further requests are sent to verify it: one bad request of a service that is
+// rarely bad. Three at once suffice to reach the ejection limit.
+constexpr double suspicion_to_verify = 2.5;
+constexpr std::int32_t verifications_at_once = 3;
 constexpr std::size_t largest_evidence_list = 16;
 constexpr double default_floor = 0.5;
 
@@ -143,10 +147,9 @@
     known.probes_good = 0;
     known.probes_bad = 0;
     const std::int64_t now_ns = current.now.time_since_epoch().count();
-    if (step == ejection_step::probation || step == ejection_step::healthy) {
-        current.state.detector.clear(seen.upstream, current.now);
-    }
     if (step == ejection_step::probation) {
+        // What was in flight when it was ejected says nothing about now.
+        current.state.detector.clear(seen.upstream, current.now);
         seen.upstream->next_probe_ns.store(now_ns);
     }
     seen.upstream->step.store(step);
@@ -228,6 +231,39 @@
     }
 }
 
+// Asks for requests that prove or clear a suspicion of this node or of a peer.
+void ejection_controller::verify(const upstream_assessment& seen, const record& known,
+                                 time_point now)
+{
+    const bool is_rotating =
+        known.step == ejection_step::healthy || known.step == ejection_step::reduced;
+    const bool is_wanted = is_rotating && (seen.suspicion >= suspicion_to_verify ||
+                                           known.step == ejection_step::reduced ||
+                                           ask_peers(known, now - evidence_lifetime, now).bad > 0);
+    seen.upstream->verify_fresh.store(is_wanted);
+    // All three may come from one organisation; two more are then likely to come from another.
+    const std::int32_t wanted = seen.suspicion >= suspicion_to_eject && !seen.is_conclusive
+                                    ? verifications_at_once + 2
+                                    : verifications_at_once;
+    seen.upstream->verifications.store(
+        is_wanted ? wanted - static_cast<std::int32_t>(seen.verifying) : 0);
+}
+
+// Takes turns between the upstreams that wait for a request.
+void ejection_controller::set_preferred(round& current)
+{
+    const auto& upstreams = current.view->upstreams;
+    for (std::size_t step = 1; step <= upstreams.size(); ++step) {
+        const auto place = (current.state.preferred + step) % upstreams.size();
+        if (upstreams[place]->verifications.load() > 0 ||
+            upstreams[place]->step.load() == ejection_step::probation) {
+            current.state.preferred = static_cast<std::uint32_t>(place);
+            current.view->reference->preferred.store(current.state.preferred);
+            return;
+        }
+    }
+}
+
 void ejection_controller::step_one(round& current, const upstream_assessment& seen, record& known)
 {
     known.suspicion = seen.suspicion;
@@ -306,11 +342,14 @@
               [](const auto& left, const auto& right) { return left.suspicion > right.suspicion; });
     for (const upstream_assessment& seen : current.assessments) {
         if (is_ready(seen)) {
-            this->step_one(current, seen, current.state.records[seen.upstream->id]);
+            record& known = current.state.records[seen.upstream->id];
+            this->step_one(current, seen, known);
+            verify(seen, known, current.now);
         }
         update_concurrency_limit(*seen.upstream, seen.upstream->reference->median(), seen.has_shed);
     }
     this->restore_floor(current);
+    set_preferred(current);
 }
 
 std::vector<ejection_change>
@@ -331,6 +370,7 @@
         const auto floor = floors.find(name);
         rounds.push_back({state,
                           state.detector.assess(*view, state.is_slow, now),
+                          view,
                           floor == floors.end() ? default_floor : floor->second,
                           {},
                           now});
