Add the request path, the HTTP adapters and dragonflyroad-node

A node had no ports yet. It now listens on the caller and admin addresses, takes announcements of upstreams, follows the configuration through the store interface, and carries a request through small passes (validate, authenticate, route, freshness, body, crash, claim, rate, forward) to an upstream and back.

The HTTP library's client only connects and writes: its own parser percent-decodes header values and takes a malformed chunked body for a whole one, so answers are read by answer_reader, which refuses an answer whose end cannot be proved.

--- /dev/null
+++ b/src/adapters/http_client.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "adapters/transport.hpp"
+
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflyroad {
+
+class upstream_connection;
+
+/// Carries requests over kept connections, several for each upstream, one exchange at a time on
+/// each. A connection is kept only after an exchange that ended completely and as framed, so that a
+/// late answer cannot be taken for that of the next request.
+class http_client : public transport {
+public:
+    http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    http_client(http_client&&) = delete;
+    http_client& operator=(http_client&&) = delete;
+    ~http_client() override;
+
+    exchange_result exchange(const upstream_id& upstream, const outbound_request& request,
+                             answer_receiver& receiver, cancellation& cancel) override;
+
+    /// Closes the idle connections to an upstream that is gone.
+    void close_idle(const upstream_id& upstream);
+
+private:
+    struct idle_connection {
+        std::unique_ptr<upstream_connection> connection;
+        time_point since;
+    };
+
+    std::unique_ptr<upstream_connection> take(const upstream_id& upstream,
+                                              const outbound_request& request);
+    std::unique_ptr<upstream_connection> take_idle(const upstream_id& upstream,
+                                                   const outbound_request& request);
+    void keep(const upstream_id& upstream, std::unique_ptr<upstream_connection> connection);
+
+    std::mutex mutex;
+    std::unordered_map<upstream_id, std::vector<idle_connection>> idle;
+};
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/adapters/http_message.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflyroad {
+
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+using http_headers = std::vector<http_header>;
+
+/// A request line and its headers as the client sent them.
+struct request_head {
+    std::string method;
+    /// Path and query, not decoded.
+    std::string target;
+    http_headers headers;
+};
+
+struct response_head {
+    int status = 0;
+    http_headers headers;
+    /// Absent when the length is not known in advance.
+    std::optional<std::uint64_t> length;
+};
+
+/// Compares header names and tokens, which ignore case.
+bool equal_ignoring_case(std::string_view left, std::string_view right);
+
+/// The first header of that name, or nothing.
+std::optional<std::string_view> find_header(const http_headers& headers, std::string_view name);
+
+std::size_t count_headers(const http_headers& headers, std::string_view name);
+
+/// The elements of a comma-separated header value, without the white space around them.
+std::vector<std::string_view> split_list(std::string_view value);
+
+/// Copies the headers that travel end to end: leaves out the hop-by-hop ones, those that
+/// `Connection` names, and the framing (Content-Length, Transfer-Encoding), which each hop sets for
+/// itself.
+http_headers end_to_end_headers(const http_headers& headers);
+
+/// Parses a Content-Length value; nothing unless it is digits only and fits.
+std::optional<std::uint64_t> parse_content_length(std::string_view text);
+
+/// Whether the text is an HTTP token, as method and header names must be.
+bool is_token(std::string_view text);
+
+/// Whether a header value is free of control characters (a tab is allowed).
+bool is_field_value(std::string_view text);
+
+/// What is wrong with a request head: the reason that a client can be told, or nothing if the head
+/// is well formed and its framing has one meaning only.
+std::optional<std::string> find_fault(const request_head& head);
+
+/// The standard phrase of a status code, or "Status" for an unusual one.
+std::string_view status_phrase(int status);
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/adapters/transport.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "adapters/http_message.hpp"
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace dragonflyroad {
+
+/// How an exchange with an upstream ended.
+enum class exchange_end {
+    complete,
+    connect_failed,
+    /// No progress within the idle timeout, or no answer by the deadline.
+    timed_out,
+    /// The connection broke, or the answer was cut short.
+    broken,
+    /// The answer is not valid HTTP, or its length is ambiguous.
+    invalid_answer,
+    /// The receiver of the answer, or another thread, asked to end it.
+    cancelled
+};
+
+struct exchange_result {
+    exchange_end end = exchange_end::connect_failed;
+    /// Whether any byte of the request can have reached the upstream.
+    bool sent = false;
+    /// Whether the exchange ran on a connection that had been used before.
+    bool reused = false;
+    std::string detail;
+};
+
+/// One request to an upstream. The body stays owned by the caller until the exchange has ended.
+struct outbound_request {
+    std::string method;
+    std::string target;
+    http_headers headers;
+    std::string_view body;
+    /// Latest time for the first byte of the answer.
+    time_point deadline;
+    std::chrono::milliseconds connect_timeout{1'000};
+    /// Longest time without a byte in either direction.
+    std::chrono::milliseconds idle_timeout{5'000};
+    /// Takes no connection that has been idle so long that it may be dead without being closed.
+    bool is_unsafe = false;
+    /// Opens a new connection even when an idle one is at hand.
+    bool needs_fresh_connection = false;
+};
+
+/// Receives an answer as it arrives, on the thread that runs the exchange. Each function returns
+/// whether to go on.
+class answer_receiver {
+public:
+    answer_receiver() = default;
+    answer_receiver(const answer_receiver&) = delete;
+    answer_receiver& operator=(const answer_receiver&) = delete;
+    answer_receiver(answer_receiver&&) = delete;
+    answer_receiver& operator=(answer_receiver&&) = delete;
+    virtual ~answer_receiver() = default;
+
+    virtual bool on_head(const response_head& head) = 0;
+    virtual bool on_body(std::string_view bytes) = 0;
+};
+
+/// Ends an exchange from another thread. The interrupt function is set while the exchange runs.
+class cancellation {
+public:
+    void cancel()
+    {
+        this->cancelled = true;
+        const std::scoped_lock lock{this->mutex};
+        if (this->interrupt) {
+            this->interrupt();
+        }
+    }
+
+    bool is_cancelled() const { return this->cancelled; }
+
+    void set_interrupt(std::function<void()> function)
+    {
+        const std::scoped_lock lock{this->mutex};
+        this->interrupt = std::move(function);
+    }
+
+private:
+    std::atomic<bool> cancelled = false;
+    std::mutex mutex;
+    std::function<void()> interrupt;
+};
+
+/// Carries requests to upstreams. Never sends a request twice.
+class transport {
+public:
+    transport() = default;
+    transport(const transport&) = delete;
+    transport& operator=(const transport&) = delete;
+    transport(transport&&) = delete;
+    transport& operator=(transport&&) = delete;
+    virtual ~transport() = default;
+
+    virtual exchange_result exchange(const upstream_id& upstream, const outbound_request& request,
+                                     answer_receiver& receiver, cancellation& cancel) = 0;
+};
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/node/explain_log.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflyroad {
+
+/// What was decided on one request, step by step, for `dragonflyroad explain`.
+struct request_record {
+    std::string id;
+    std::string organisation;
+    std::string service;
+    std::string method;
+    std::string path;
+    /// Code of the refusal, or "answered".
+    std::string result;
+    std::string executed;
+    int status = 0;
+    std::chrono::microseconds elapsed{};
+    std::vector<std::string> steps;
+};
+
+/// The latest decisions by request id; the oldest make room.
+class explain_log {
+public:
+    explicit explain_log(std::size_t most_records) : capacity(most_records) {}
+
+    void add(request_record record);
+    std::optional<request_record> find(const std::string& id) const;
+
+private:
+    std::size_t capacity;
+    mutable std::mutex mutex;
+    std::deque<std::string> order;
+    std::unordered_map<std::string, request_record> records;
+};
+
+/// The record as JSON.
+std::string to_json(const request_record& record);
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/node/forwarder.cpp
@@ -0,0 +1,265 @@
+#include "node/forwarder.hpp"
+
+#include "adapters/log.hpp"
+#include "node/answer_relay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace dragonflyroad {
+namespace {
+
+std::string_view to_text(exchange_end end)
+{
+    switch (end) {
+    case exchange_end::complete:
+        return "complete";
+    case exchange_end::connect_failed:
+        return "connect_failed";
+    case exchange_end::timed_out:
+        return "timed_out";
+    case exchange_end::broken:
+        return "broken";
+    case exchange_end::invalid_answer:
+        return "invalid_answer";
+    case exchange_end::cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+attempt_outcome classify(const exchange_result& result, const answer_relay& relay)
+{
+    if (relay.is_not_run() && result.end != exchange_end::connect_failed) {
+        return attempt_outcome::not_run;
+    }
+    switch (result.end) {
+    case exchange_end::complete:
+        return relay.status() >= 500 ? attempt_outcome::server_error : attempt_outcome::success;
+    case exchange_end::connect_failed:
+        return attempt_outcome::connect_failed;
+    case exchange_end::timed_out:
+        return attempt_outcome::timed_out;
+    case exchange_end::cancelled:
+        return attempt_outcome::cancelled;
+    case exchange_end::broken:
+    case exchange_end::invalid_answer:
+        break;
+    }
+    return attempt_outcome::broken;
+}
+
+bool is_set_by_node(const std::string& name)
+{
+    constexpr std::array names{"Authorization", "X-Organisation", "X-Request-Id", "X-Deadline-Ms"};
+    return std::ranges::any_of(
+        names, [&](std::string_view known) { return equal_ignoring_case(known, name); });
+}
+
+std::int64_t milliseconds_until(time_point time)
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(time - boot_clock::now());
+    return std::max<std::int64_t>(left.count(), 0);
+}
+
+} // namespace
+
+struct forwarder::attempt {
+    upstream_place place;
+    exchange_result result;
+    attempt_outcome outcome = attempt_outcome::connect_failed;
+    int status = 0;
+    bool lost_client = false;
+    retry_reason reason = retry_reason::connect_failed;
+    bool needs_fresh_connection = false;
+};
+
+forwarder::forwarder(std::shared_ptr<transport> connections, gates choices, metrics& counts)
+    : carrier(std::move(connections)), decisions(std::move(choices)), counters(counts)
+{
+}
+
+std::optional<refusal> forwarder::forward(request_context& context)
+{
+    std::vector<upstream_id> tried;
+    refusal failed{refusal_reason::no_healthy_upstream, ran::no, "", {}, 0, {}};
+    this->decisions.retries->note_request(context.service, boot_clock::now());
+    bool needs_fresh_connection = false;
+    while (true) {
+        refusal_reason why = refusal_reason::no_healthy_upstream;
+        auto place = this->acquire(context, tried, why);
+        if (!place) {
+            // After a failed attempt its reason says more than the lack of a further upstream.
+            if (tried.empty()) {
+                failed.reason = why;
+                failed.retry_after = std::chrono::seconds{1};
+            }
+            break;
+        }
+        attempt current;
+        current.place = std::move(*place);
+        current.needs_fresh_connection = needs_fresh_connection;
+        tried.push_back(current.place.upstream);
+        this->run(context, current);
+        const verdict next = this->judge(context, current);
+        if (next == verdict::answered) {
+            return std::nullopt;
+        }
+        failed.reason = current.outcome == attempt_outcome::not_run
+                            ? refusal_reason::upstream_refused
+                        : boot_clock::now() >= context.deadline ? refusal_reason::deadline_exceeded
+                        : current.outcome == attempt_outcome::connect_failed
+                            ? refusal_reason::no_healthy_upstream
+                            : refusal_reason::upstream_failed;
+        failed.detail = current.result.detail;
+        if (next == verdict::failed || !this->may_retry(context, current, tried.size())) {
+            break;
+        }
+        needs_fresh_connection = current.reason == retry_reason::stale_connection;
+        if (needs_fresh_connection) {
+            tried.pop_back();
+        }
+    }
+    failed.executed = context.executed;
+    return failed;
+}
+
+std::optional<upstream_place> forwarder::acquire(const request_context& context,
+                                                 const std::vector<upstream_id>& tried,
+                                                 refusal_reason& why)
+{
+    place_request wanted;
+    wanted.service = context.service;
+    wanted.organisation = context.tenant->id;
+    wanted.weight = context.tenant->weight;
+    wanted.fingerprint = context.fingerprint;
+    wanted.is_repeatable = context.is_repeatable;
+    wanted.excluded = tried;
+    wanted.deadline = std::min(context.deadline, boot_clock::now() + context.rules->queue_timeout);
+    return this->decisions.upstreams->acquire(wanted, why);
+}
+
+outbound_request forwarder::build_request(const request_context& context) const
+{
+    const request_head& head = context.exchange.head();
+    outbound_request request;
+    request.method = head.method;
+    request.target = head.target;
+    request.headers = end_to_end_headers(head.headers);
+    std::erase_if(request.headers,
+                  [](const http_header& header) { return is_set_by_node(header.name); });
+    request.headers.push_back({"X-Organisation", context.tenant->id.value});
+    request.headers.push_back(
+        {"X-Deadline-Ms", std::to_string(milliseconds_until(context.deadline))});
+    request.headers.push_back({"X-Request-Id", context.id});
+    request.body = context.body;
+    request.deadline = context.deadline;
+    request.idle_timeout = context.rules->idle_timeout;
+    request.is_unsafe = !context.is_repeatable;
+    return request;
+}
+
+void forwarder::run(request_context& context, attempt& current)
+{
+    answer_relay relay{context.exchange, context.id,
+                       [&] { this->decisions.upstreams->first_byte(current.place); }};
+    outbound_request request = this->build_request(context);
+    request.needs_fresh_connection =
+        current.needs_fresh_connection || current.place.needs_fresh_connection;
+    cancellation cancel;
+    const time_point began = boot_clock::now();
+    current.result = this->carrier->exchange(current.place.upstream, request, relay, cancel);
+    context.upstream_time += boot_clock::now() - began;
+    current.outcome = classify(current.result, relay);
+    if (current.outcome == attempt_outcome::success ||
+        current.outcome == attempt_outcome::server_error) {
+        relay.finish();
+    }
+    current.status = relay.status();
+    current.lost_client = relay.has_lost_client();
+    this->account(context, current);
+}
+
+void forwarder::account(request_context& context, attempt& current)
+{
+    this->decisions.upstreams->finish(current.place, current.outcome, current.result.reused);
+    const bool is_done = current.outcome == attempt_outcome::success ||
+                         current.outcome == attempt_outcome::server_error;
+    if (is_done) {
+        context.executed = ran::yes;
+    }
+    else if (current.result.sent && current.outcome != attempt_outcome::not_run) {
+        context.executed = ran::unknown;
+    }
+    context.steps.push_back(fmt::format(
+        "upstream={} end={} status={} sent={} reused={} detail={}", current.place.upstream.value,
+        current.outcome == attempt_outcome::not_run ? "not_run" : to_text(current.result.end),
+        current.status, current.result.sent, current.result.reused, current.result.detail));
+}
+
+forwarder::verdict forwarder::judge(request_context& context, attempt& current)
+{
+    switch (current.outcome) {
+    case attempt_outcome::success:
+    case attempt_outcome::server_error:
+        if (current.lost_client) {
+            this->end_cut_answer(context, current);
+        }
+        else {
+            this->counters.count_answer(current.status);
+        }
+        return verdict::answered;
+    case attempt_outcome::connect_failed:
+        current.reason = retry_reason::connect_failed;
+        return verdict::retry;
+    case attempt_outcome::not_run:
+        current.reason = retry_reason::not_run_by_upstream;
+        return verdict::retry;
+    case attempt_outcome::timed_out:
+        current.reason = retry_reason::timed_out;
+        break;
+    case attempt_outcome::broken:
+    case attempt_outcome::cancelled:
+        current.reason = current.result.reused && current.status == 0
+                             ? retry_reason::stale_connection
+                             : retry_reason::upstream_died;
+        break;
+    }
+    if (context.exchange.has_sent()) {
+        this->end_cut_answer(context, current);
+        return verdict::answered;
+    }
+    return context.is_repeatable ? verdict::retry : verdict::failed;
+}
+
+void forwarder::end_cut_answer(request_context& context, const attempt& current)
+{
+    context.exchange.close();
+    if (current.lost_client) {
+        this->counters.count_lost_client();
+        context.steps.push_back("the client stopped taking the answer");
+        return;
+    }
+    this->counters.count_cut_answer();
+    log_line{"answer_cut"}
+        .add("id", context.id)
+        .add("service", context.service.value)
+        .add("upstream", current.place.upstream.value)
+        .add("detail", current.result.detail);
+}
+
+bool forwarder::may_retry(request_context& context, attempt& current, std::size_t attempts)
+{
+    const time_point now = boot_clock::now();
+    if (attempts >= context.rules->max_attempts || now >= context.deadline ||
+        !this->decisions.retries->may_retry(context.service, *context.rules, current.reason, now)) {
+        return false;
+    }
+    this->counters.count_retry(current.reason);
+    context.steps.push_back(fmt::format("retry={}", to_code(current.reason)));
+    return true;
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,268 @@
+#include "node/node.hpp"
+
+#include "adapters/http_client.hpp"
+#include "adapters/http_server.hpp"
+#include "adapters/log.hpp"
+#include "adapters/metrics.hpp"
+#include "core/failure.hpp"
+#include "node/admin_port.hpp"
+#include "node/announcements.hpp"
+#include "node/blackboard.hpp"
+#include "node/config_controller.hpp"
+#include "node/explain_log.hpp"
+#include "node/periodic_task.hpp"
+#include "node/pipeline.hpp"
+#include "node/simple_gates.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace dragonflyroad {
+namespace {
+
+constexpr std::size_t explained_requests = 4'096;
+constexpr std::chrono::milliseconds announcement_tick{100};
+
+template<typename Gate, typename Default>
+void fill_in(std::shared_ptr<Gate>& gate, std::shared_ptr<Default> standard)
+{
+    if (gate == nullptr) {
+        gate = std::move(standard);
+    }
+}
+
+} // namespace
+
+struct node::parts {
+    parts(const node_settings& given, gates given_gates, std::shared_ptr<transport> given_carrier,
+          std::shared_ptr<store> given_store, const std::string& prefix)
+        : settings(given),
+          announcements([this](const auto& list) { this->upstreams->set_upstreams(list); }),
+          requests({this->board, this->complete(std::move(given_gates)), std::move(given_carrier),
+                    this->counters, this->explanations, prefix}),
+          admin({this->announcements, this->counters, this->explanations,
+                 [this] { return this->status(); }}),
+          config(std::move(given_store), this->board)
+    {
+    }
+
+    gates complete(gates decisions);
+    std::string status();
+    bool listen(const std::chrono::milliseconds& request_timeout);
+    void start_controllers();
+    void handle(http_exchange& exchange);
+    void wait_until_idle();
+
+    node_settings settings;
+    blackboard board;
+    metrics counters;
+    explain_log explanations{explained_requests};
+    std::shared_ptr<local_upstreams> upstreams = std::make_shared<local_upstreams>();
+    local_announcements announcements;
+    pipeline requests;
+    admin_port admin;
+    config_controller config;
+    std::unique_ptr<http_server> caller_server;
+    std::unique_ptr<http_server> admin_server;
+    std::unique_ptr<periodic_task> config_task;
+    std::unique_ptr<periodic_task> announcement_task;
+    std::mutex mutex;
+    std::condition_variable idle;
+    std::size_t in_flight = 0;
+    bool stopped = false;
+    std::chrono::milliseconds leave_time{};
+};
+
+gates node::parts::complete(gates decisions)
+{
+    fill_in(decisions.freshness, std::make_shared<always_current>());
+    fill_in(decisions.rate, std::make_shared<local_rates>());
+    fill_in(decisions.crash, std::make_shared<no_crashes>());
+    fill_in(decisions.claims, std::make_shared<local_claims>());
+    fill_in(decisions.upstreams, this->upstreams);
+    fill_in(decisions.retries, std::make_shared<unlimited_retries>());
+    return decisions;
+}
+
+std::string node::parts::status()
+{
+    nlohmann::ordered_json body;
+    body["node"] = this->settings.id.value;
+    body["data_centre"] = this->settings.centre.value;
+    body["revision"] = this->board.config.read()->revision;
+    body["upstreams"] = nlohmann::ordered_json::array();
+    for (const announced_upstream& upstream : this->announcements.list()) {
+        body["upstreams"].push_back({{"address", upstream.id.value},
+                                     {"service", upstream.service.value},
+                                     {"slots", upstream.slots},
+                                     {"state", upstream.draining ? "draining" : "ready"}});
+    }
+    return body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+bool node::parts::listen(const std::chrono::milliseconds& request_timeout)
+{
+    http_server_options options;
+    options.request_timeout = request_timeout;
+    options.max_header_bytes = this->settings.max_header_bytes;
+    options.address = this->settings.admin_address;
+    options.threads = 8;
+    this->admin_server = http_server::start(
+        options, [this](http_exchange& exchange) { this->admin.handle(exchange); });
+    if (this->admin_server == nullptr) {
+        return false;
+    }
+    options.address = this->settings.caller_address;
+    options.threads = static_cast<int>(this->settings.worker_threads);
+    this->caller_server =
+        http_server::start(options, [this](http_exchange& exchange) { this->handle(exchange); });
+    return this->caller_server != nullptr;
+}
+
+void node::parts::start_controllers()
+{
+    this->config_task = std::make_unique<periodic_task>([this] { return this->config.follow(); });
+    this->announcement_task = std::make_unique<periodic_task>([this] {
+        this->announcements.expire(boot_clock::now());
+        return duration{announcement_tick};
+    });
+}
+
+void node::parts::handle(http_exchange& exchange)
+{
+    {
+        const std::scoped_lock lock{this->mutex};
+        ++this->in_flight;
+    }
+    this->requests.handle(exchange);
+    const std::scoped_lock lock{this->mutex};
+    if (--this->in_flight == 0) {
+        this->idle.notify_all();
+    }
+}
+
+void node::parts::wait_until_idle()
+{
+    std::unique_lock lock{this->mutex};
+    this->idle.wait(lock, [this] { return this->in_flight == 0; });
+}
+
+node::node(std::unique_ptr<parts> assembled) : impl(std::move(assembled)) {}
+
+node::~node()
+{
+    this->stop();
+}
+
+const std::string& node::caller_address() const
+{
+    return this->impl->caller_server->address();
+}
+
+const std::string& node::admin_address() const
+{
+    return this->impl->admin_server->address();
+}
+
+bool node::wait_for_revision(revision_number revision, time_point deadline) const
+{
+    return this->impl->config.wait_for_revision(revision, deadline);
+}
+
+void node::stop()
+{
+    parts& own = *this->impl;
+    {
+        const std::scoped_lock lock{own.mutex};
+        if (std::exchange(own.stopped, true)) {
+            return;
+        }
+    }
+    log_line{"node_leaving"}.add("node", own.settings.id.value);
+    own.board.phase = node_phase::leaving;
+    own.caller_server->close_after_answers();
+    {
+        // Clients learn from "Connection: close" that they have to move to another node.
+        std::unique_lock lock{own.mutex};
+        own.idle.wait_for(lock, own.leave_time, [] { return false; });
+    }
+    own.board.phase = node_phase::stopping;
+    own.wait_until_idle();
+    own.caller_server->stop();
+    own.config_task->stop();
+    own.announcement_task->stop();
+    own.admin_server->stop();
+    log_line{"node_stopped"}.add("node", own.settings.id.value);
+}
+
+node_builder::node_builder(node_settings values) : settings(std::move(values)) {}
+node_builder::~node_builder() = default;
+
+node_builder& node_builder::with_store(std::shared_ptr<store> client)
+{
+    this->store_client = std::move(client);
+    return *this;
+}
+
+node_builder& node_builder::with_transport(std::shared_ptr<transport> value)
+{
+    this->carrier = std::move(value);
+    return *this;
+}
+
+node_builder& node_builder::with_gates(gates values)
+{
+    this->decisions = std::move(values);
+    return *this;
+}
+
+node_builder& node_builder::with_incarnation(incarnation value)
+{
+    this->run = value;
+    return *this;
+}
+
+node_builder& node_builder::with_leave_time(std::chrono::milliseconds time)
+{
+    this->leave_time = time;
+    return *this;
+}
+
+node_builder& node_builder::with_request_timeout(std::chrono::milliseconds time)
+{
+    this->request_timeout = time;
+    return *this;
+}
+
+std::unique_ptr<node> node_builder::start()
+{
+    if (this->run == std::nullopt) {
+        std::random_device entropy;
+        this->run = (static_cast<incarnation>(entropy()) << 32U) | entropy();
+    }
+    if (this->carrier == nullptr) {
+        this->carrier = std::make_shared<http_client>();
+    }
+    const std::string prefix = fmt::format("{}-{:x}", this->settings.id.value, *this->run);
+    auto assembled = std::make_unique<node::parts>(this->settings, this->decisions, this->carrier,
+                                                   this->store_client, prefix);
+    assembled->leave_time = this->leave_time;
+    if (!assembled->listen(this->request_timeout)) {
+        return nullptr;
+    }
+    assembled->start_controllers();
+    assembled->board.phase = node_phase::serving;
+    log_line{"node_started"}
+        .add("node", this->settings.id.value)
+        .add("caller_address", assembled->caller_server->address())
+        .add("admin_address", assembled->admin_server->address());
+    return std::unique_ptr<node>{new node{std::move(assembled)}};
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/node/pipeline.cpp
@@ -0,0 +1,338 @@
+#include "node/pipeline.hpp"
+
+#include "adapters/log.hpp"
+#include "core/digest.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace dragonflyroad {
+namespace {
+
+/// Longest Idempotency-Key, which is kept in memory for the repeat window.
+constexpr std::size_t max_idempotency_key = 256;
+
+refusal refuse(refusal_reason reason, std::string detail = {})
+{
+    return {reason, ran::no, std::move(detail), {}, 0, {}};
+}
+
+/// A prefix ends at a segment's end: "/marks" covers "/marks" and "/marks/1" but not "/marksheet".
+bool covers(const std::string& prefix, const std::string& path)
+{
+    return path.starts_with(prefix) &&
+           (path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/');
+}
+
+const route* longest_route(const configuration& config, const std::string& path)
+{
+    const route* best = nullptr;
+    for (const auto& [name, candidate] : config.routes) {
+        if (covers(candidate.path_prefix, path) &&
+            (best == nullptr || candidate.path_prefix.size() > best->path_prefix.size())) {
+            best = &candidate;
+        }
+    }
+    return best;
+}
+
+std::optional<std::string_view> bearer_key(std::string_view authorization)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    if (authorization.size() <= scheme.size() ||
+        !equal_ignoring_case(authorization.substr(0, scheme.size()), scheme)) {
+        return std::nullopt;
+    }
+    authorization.remove_prefix(authorization.find_first_not_of(' ', scheme.size()) ==
+                                        std::string_view::npos
+                                    ? authorization.size()
+                                    : authorization.find_first_not_of(' ', scheme.size()));
+    return authorization.empty() ? std::nullopt : std::optional{authorization};
+}
+
+std::uint64_t fingerprint_of(const request_context& context)
+{
+    const std::string text = fmt::format("{}\n{}\n{}\n{}\n{:x}", context.tenant->id.value,
+                                         context.service.value, context.exchange.head().method,
+                                         context.exchange.head().target, stable_hash(context.body));
+    return stable_hash(text);
+}
+
+} // namespace
+
+const std::array<pipeline::pass, 9> pipeline::passes{{
+    {"validate", &pipeline::validate},
+    {"authenticate", &pipeline::authenticate},
+    {"route", &pipeline::find_route},
+    {"freshness", &pipeline::check_freshness},
+    {"body", &pipeline::read_body},
+    {"crash", &pipeline::check_crashes},
+    {"claim", &pipeline::claim},
+    {"rate", &pipeline::check_rate},
+    {"forward", &pipeline::forward},
+}};
+
+pipeline::pipeline(pipeline_parts given)
+    : parts(std::move(given)),
+      sender(this->parts.carrier, this->parts.decisions, this->parts.counters)
+{
+}
+
+void pipeline::handle(http_exchange& exchange)
+{
+    request_context context{exchange};
+    context.arrived = boot_clock::now();
+    context.id = this->next_id();
+    this->parts.counters.count_request();
+    const outcome refused = this->run_passes(context);
+    if (context.claim) {
+        this->release_claim(context);
+    }
+    if (refused) {
+        this->respond(context, refused);
+    }
+    const duration elapsed = boot_clock::now() - context.arrived;
+    this->parts.counters.record_latency(elapsed);
+    this->parts.counters.record_added_latency(elapsed - context.upstream_time);
+    this->record(context, refused);
+}
+
+pipeline::outcome pipeline::run_passes(request_context& context)
+{
+    for (const pass& step : passes) {
+        if (outcome refused = (this->*step.run)(context)) {
+            context.steps.push_back(fmt::format("refused_by={}", step.name));
+            return refused;
+        }
+    }
+    return std::nullopt;
+}
+
+pipeline::outcome pipeline::validate(request_context& context)
+{
+    const http_exchange& exchange = context.exchange;
+    if (exchange.fault() != request_fault::none) {
+        const bool is_large = exchange.fault() == request_fault::header_too_large;
+        return refuse(is_large ? refusal_reason::header_too_large
+                               : refusal_reason::malformed_request,
+                      exchange.fault_detail());
+    }
+    if (this->parts.board.phase == node_phase::stopping) {
+        refusal refused = refuse(refusal_reason::node_stopping);
+        refused.retry_after = std::chrono::seconds{0};
+        return refused;
+    }
+    context.config = this->parts.board.config.read();
+    if (context.config->revision == 0) {
+        refusal refused = refuse(refusal_reason::configuration_missing);
+        refused.retry_after = std::chrono::seconds{1};
+        return refused;
+    }
+    return std::nullopt;
+}
+
+pipeline::outcome pipeline::authenticate(request_context& context)
+{
+    const http_headers& headers = context.exchange.head().headers;
+    const auto header = find_header(headers, "Authorization");
+    if (!header) {
+        return refuse(refusal_reason::key_missing);
+    }
+    if (count_headers(headers, "Authorization") > 1) {
+        return refuse(refusal_reason::malformed_request, "Authorization is repeated");
+    }
+    const auto key = bearer_key(*header);
+    if (!key) {
+        return refuse(refusal_reason::key_missing, "Authorization is not of the form Bearer KEY");
+    }
+    const auto found = context.config->keys.find(sha256_hex(*key));
+    if (found == context.config->keys.end()) {
+        return refuse(refusal_reason::key_unknown);
+    }
+    if (found->second.state != key_state::granted) {
+        return refuse(refusal_reason::key_withdrawn);
+    }
+    const auto owner = context.config->organisations.find(found->second.organisation);
+    if (owner == context.config->organisations.end()) {
+        return refuse(refusal_reason::key_unknown, "the key's organisation does not exist");
+    }
+    context.tenant = &owner->second;
+    return std::nullopt;
+}
+
+pipeline::outcome pipeline::find_route(request_context& context)
+{
+    context.matched = longest_route(*context.config, context.path());
+    if (context.matched == nullptr) {
+        return refuse(refusal_reason::route_unknown);
+    }
+    const auto& allowed = context.matched->organisations;
+    if (!allowed.empty() && !allowed.contains(context.tenant->id)) {
+        return refuse(refusal_reason::organisation_not_allowed);
+    }
+    const auto target = context.config->services.find(context.matched->service);
+    if (target == context.config->services.end()) {
+        return refuse(refusal_reason::route_unknown, "the route's service does not exist");
+    }
+    const auto rules = context.config->profiles.find(target->second.profile);
+    if (rules == context.config->profiles.end()) {
+        return refuse(refusal_reason::route_unknown, "the service's profile does not exist");
+    }
+    context.service = target->first;
+    context.rules = &rules->second;
+    context.deadline = context.arrived + context.rules->timeout;
+    context.is_repeatable = context.rules->is_repeatable(context.exchange.head().method);
+    return std::nullopt;
+}
+
+pipeline::outcome pipeline::check_freshness(request_context& context)
+{
+    const proof_state state = this->parts.decisions.freshness->state(boot_clock::now());
+    const bool is_refused =
+        (state == proof_state::fleet_only &&
+         context.rules->when_fleet_only == unproved_action::refuse) ||
+        (state == proof_state::isolated && context.rules->when_isolated == unproved_action::refuse);
+    if (!is_refused) {
+        return std::nullopt;
+    }
+    refusal refused = refuse(refusal_reason::key_unverified);
+    refused.retry_after = std::chrono::seconds{1};
+    return refused;
+}
+
+pipeline::outcome pipeline::read_body(request_context& context)
+{
+    switch (context.exchange.read_body(context.rules->max_body_bytes, context.body)) {
+    case body_outcome::complete:
+        context.fingerprint = fingerprint_of(context);
+        return std::nullopt;
+    case body_outcome::too_large:
+        return refuse(refusal_reason::body_too_large);
+    case body_outcome::malformed:
+        break;
+    }
+    return refuse(refusal_reason::malformed_request, "the body is incomplete or malformed");
+}
+
+pipeline::outcome pipeline::check_crashes(request_context& context)
+{
+    if (!this->parts.decisions.crash->is_blocked(context.fingerprint, boot_clock::now())) {
+        return std::nullopt;
+    }
+    refusal refused = refuse(refusal_reason::crash_suspect);
+    refused.retry_after = std::chrono::seconds{60};
+    return refused;
+}
+
+pipeline::outcome pipeline::claim(request_context& context)
+{
+    const http_headers& headers = context.exchange.head().headers;
+    const auto key = find_header(headers, "Idempotency-Key");
+    if (!key || context.is_repeatable) {
+        return std::nullopt;
+    }
+    if (count_headers(headers, "Idempotency-Key") > 1 || key->empty() ||
+        key->size() > max_idempotency_key) {
+        return refuse(refusal_reason::malformed_request, "Idempotency-Key is not acceptable");
+    }
+    const claim_key wanted{context.tenant->id, context.service, std::string{*key}};
+    refusal refused = refuse(refusal_reason::repeat_in_progress);
+    switch (this->parts.decisions.claims->claim(wanted, context.rules->repeat_window,
+                                                context.deadline)) {
+    case claim_verdict::granted:
+        context.claim = wanted;
+        return std::nullopt;
+    case claim_verdict::in_progress:
+        refused.executed = ran::unknown;
+        refused.retry_after = std::chrono::seconds{1};
+        return refused;
+    case claim_verdict::done:
+        refused.reason = refusal_reason::repeat_done;
+        refused.executed = ran::yes;
+        return refused;
+    case claim_verdict::unknown:
+        refused.reason = refusal_reason::repeat_unknown;
+        refused.executed = ran::unknown;
+        return refused;
+    case claim_verdict::unavailable:
+        break;
+    }
+    refused.reason = refusal_reason::claim_unavailable;
+    refused.retry_after = std::chrono::seconds{1};
+    return refused;
+}
+
+pipeline::outcome pipeline::check_rate(request_context& context)
+{
+    switch (this->parts.decisions.rate->admit(*context.tenant, context.deadline)) {
+    case rate_verdict::admitted:
+        return std::nullopt;
+    case rate_verdict::over_rate: {
+        refusal refused = refuse(refusal_reason::organisation_rate);
+        refused.retry_after = std::chrono::seconds{1};
+        return refused;
+    }
+    case rate_verdict::unproved:
+        break;
+    }
+    refusal refused = refuse(refusal_reason::rights_unproved);
+    refused.retry_after = std::chrono::seconds{1};
+    return refused;
+}
+
+pipeline::outcome pipeline::forward(request_context& context)
+{
+    return this->sender.forward(context);
+}
+
+void pipeline::release_claim(const request_context& context)
+{
+    this->parts.decisions.claims->complete(*context.claim, context.executed);
+}
+
+void pipeline::respond(request_context& context, const outcome& refused)
+{
+    refusal answer = *refused;
+    answer.revision = context.config == nullptr ? 0 : context.config->revision;
+    if (context.rules != nullptr) {
+        answer.profile = context.rules->name;
+    }
+    this->parts.counters.count_refusal(answer.reason);
+    const int status = describe(answer.reason).status;
+    context.exchange.send(status, refusal_headers(answer, context.id),
+                          refusal_body(answer, context.id));
+    if (describe(answer.reason).decided_by == decision_source::policy) {
+        return;
+    }
+    log_line line{"refused"};
+    line.add("id", context.id).add("reason", describe(answer.reason).code);
+    line.add("organisation", context.tenant == nullptr ? "" : context.tenant->id.value);
+    line.add("service", context.service.value).add("ran", to_code(answer.executed));
+    line.add("detail", answer.detail);
+}
+
+void pipeline::record(const request_context& context, const outcome& refused)
+{
+    request_record entry;
+    entry.id = context.id;
+    entry.organisation = context.tenant == nullptr ? "" : context.tenant->id.value;
+    entry.service = context.service.value;
+    entry.method = context.exchange.head().method;
+    entry.path = context.path();
+    entry.result = refused ? describe(refused->reason).code : "answered";
+    entry.executed = to_code(refused ? refused->executed : context.executed);
+    entry.status = context.exchange.status();
+    entry.elapsed =
+        std::chrono::duration_cast<std::chrono::microseconds>(boot_clock::now() - context.arrived);
+    entry.steps = context.steps;
+    this->parts.explanations.add(std::move(entry));
+}
+
+std::string pipeline::next_id()
+{
+    return fmt::format("{}-{}", this->parts.id_prefix, this->next_request++);
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/test/support/raw_socket.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <string>
+
+namespace dragonflyroad::test {
+
+/// Opens a listening socket on a free loopback port and gives its "ip:port".
+int listen_on_loopback(std::string& address);
+
+int connect_to(const std::string& address);
+
+bool send_all(int connection, const std::string& bytes);
+
+/// Receives up to and including `end`; what came after it stays in `pending`. Empty when the
+/// connection ended before.
+std::string receive_until(int connection, std::string& pending, const std::string& end);
+
+std::string receive_exactly(int connection, std::string& pending, std::size_t size);
+
+/// Everything until the peer closes.
+std::string receive_to_end(int connection);
+
+/// A client's connection that speaks HTTP/1.1 byte by byte.
+class raw_client {
+public:
+    struct answer {
+        int status = 0;
+        std::string head;
+        std::string body;
+        /// The connection ended before the answer did.
+        bool is_cut = false;
+    };
+
+    explicit raw_client(const std::string& address);
+    raw_client(const raw_client&) = delete;
+    raw_client& operator=(const raw_client&) = delete;
+    raw_client(raw_client&&) = delete;
+    raw_client& operator=(raw_client&&) = delete;
+    ~raw_client();
+
+    bool send(const std::string& bytes);
+    /// Receives one answer by its framing.
+    answer receive();
+    answer exchange(const std::string& bytes);
+    /// Whether the server has closed the connection; waits until it does or sends something.
+    bool is_closed_by_server();
+
+private:
+    std::string receive_chunks(bool& is_cut);
+
+    int connection;
+    std::string pending;
+};
+
+} // namespace dragonflyroad::test
--- /dev/null
+++ b/test/support/test_node.cpp
@@ -0,0 +1,171 @@
+#include "test/support/test_node.hpp"
+
+#include "core/digest.hpp"
+#include "test/support/raw_socket.hpp"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace dragonflyroad::test {
+namespace {
+
+/// The whole configuration as one value; see src/node/head_reader.hpp.
+std::string to_head(const configuration& config)
+{
+    nlohmann::json root;
+    root["revision"] = config.revision;
+    for (const auto& [name, rules] : config.profiles) {
+        root["profiles"].push_back({{"name", name.value},
+                                    {"timeout_ms", rules.timeout.count()},
+                                    {"idle_timeout_ms", rules.idle_timeout.count()},
+                                    {"queue_timeout_ms", rules.queue_timeout.count()},
+                                    {"max_body_bytes", rules.max_body_bytes}});
+    }
+    for (const auto& [name, entry] : config.services) {
+        root["services"].push_back({{"name", name.value}, {"profile", entry.profile.value}});
+    }
+    for (const auto& [name, entry] : config.routes) {
+        std::vector<std::string> names;
+        for (const organisation_id& id : entry.organisations) {
+            names.push_back(id.value);
+        }
+        root["routes"].push_back({{"name", name.value},
+                                  {"path_prefix", entry.path_prefix},
+                                  {"service", entry.service.value},
+                                  {"organisations", names}});
+    }
+    for (const auto& [id, entry] : config.organisations) {
+        root["organisations"].push_back({{"id", id.value},
+                                         {"rate", entry.rate},
+                                         {"burst", entry.burst},
+                                         {"weight", entry.weight}});
+    }
+    for (const auto& [digest, entry] : config.keys) {
+        root["keys"].push_back(
+            {{"digest", digest},
+             {"organisation", entry.organisation.value},
+             {"state", entry.state == key_state::granted ? "granted" : "withdrawn"}});
+    }
+    return root.dump();
+}
+
+} // namespace
+
+struct memory_store::shared_state {
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::string, store_value> values;
+    bool ended = false;
+};
+
+memory_store::memory_store() : state(std::make_shared<shared_state>()) {}
+
+std::optional<store_value> memory_store::read(const std::string& key, time_point)
+{
+    const std::scoped_lock lock{this->state->mutex};
+    return this->state->values[key];
+}
+
+write_result memory_store::write(const std::string& key, const std::string& bytes,
+                                 std::uint64_t expected_version, time_point)
+{
+    const std::scoped_lock lock{this->state->mutex};
+    store_value& value = this->state->values[key];
+    if (value.version != expected_version) {
+        return {write_outcome::conflict, value.version, true};
+    }
+    value = {bytes, value.version + 1};
+    this->state->changed.notify_all();
+    return {write_outcome::written, value.version, true};
+}
+
+std::optional<store_value> memory_store::watch(const std::string& key, std::uint64_t after,
+                                               time_point deadline)
+{
+    std::unique_lock lock{this->state->mutex};
+    this->state->changed.wait_for(lock, deadline - boot_clock::now(), [&] {
+        return this->state->ended || this->state->values[key].version > after;
+    });
+    return this->state->values[key];
+}
+
+void memory_store::end_watches()
+{
+    const std::scoped_lock lock{this->state->mutex};
+    this->state->ended = true;
+    this->state->changed.notify_all();
+}
+
+test_node::test_node()
+{
+    this->config.revision = 0;
+    this->config.profiles[profile_name{"standard"}].name = profile_name{"standard"};
+    this->config.services[service_name{"marks"}] = {service_name{"marks"},
+                                                    profile_name{"standard"}};
+    this->config.routes[route_name{"marks"}] = {
+        route_name{"marks"}, "/marks", service_name{"marks"}, {}};
+    this->config.organisations[organisation_id{"acme"}] = {organisation_id{"acme"}, 1000, 1000, 1};
+    const std::string digest = sha256_hex("acme-key");
+    this->config.keys[digest] = {digest, organisation_id{"acme"}, key_state::granted};
+    this->settings.id = node_id{"node-1"};
+    this->settings.centre = data_centre{"dc-1"};
+    this->settings.caller_address = "127.0.0.1:0";
+    this->settings.peer_address = "127.0.0.1:0";
+    this->settings.admin_address = "127.0.0.1:0";
+    this->settings.secret = "secret-of-the-test-fleet-0123456789";
+}
+
+test_node::~test_node()
+{
+    this->values->end_watches();
+}
+
+profile& test_node::rules()
+{
+    return this->config.profiles[profile_name{"standard"}];
+}
+
+void test_node::start()
+{
+    node_builder builder{this->settings};
+    builder.with_store(this->values).with_gates(this->decisions).with_incarnation(0xabc);
+    builder.with_leave_time(std::chrono::milliseconds{0});
+    this->adjust(builder);
+    this->running = builder.start();
+    REQUIRE(this->running != nullptr);
+    this->publish();
+}
+
+void test_node::publish()
+{
+    ++this->config.revision;
+    const auto head = this->values->read("config/head", {});
+    this->values->write("config/head", to_head(this->config), head->version, {});
+    REQUIRE(this->running->wait_for_revision(this->config.revision,
+                                             boot_clock::now() + std::chrono::seconds{20}));
+}
+
+void test_node::announce(const std::string& address, const std::string& state, int slots)
+{
+    raw_client client{this->admin()};
+    const std::string body = fmt::format(
+        R"({{"service":"marks","address":"{}","slots":{},"state":"{}"}})", address, slots, state);
+    const auto answer = client.exchange(request_text("POST", "/v1/upstreams", "", body));
+    REQUIRE(answer.status == 200);
+}
+
+std::string request_text(const std::string& method, const std::string& target,
+                         const std::string& headers, const std::string& body)
+{
+    const std::string length =
+        body.empty() ? "" : fmt::format("Content-Length: {}\r\n", body.size());
+    return fmt::format("{} {} HTTP/1.1\r\nHost: node\r\n{}{}\r\n{}", method, target, headers,
+                       length, body);
+}
+
+} // namespace dragonflyroad::test
