--- a/src/limits/rights.cpp
+++ b/src/limits/rights.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t most_layers = 8;
+/// How long after the fence was found closed requests wait for evidence.
+constexpr std::chrono::milliseconds proof_grace{250};
 
 std::int64_t to_count(time_point time)
 {
@@ -55,11 +57,24 @@
         .first->second;
 }
 
+admission rights::decide_unproved(time_point now)
+{
+    // A node that was paused finds its fence closed; its witnesses usually answer within a round
+    // trip, so requests are held back for a moment rather than refused.
+    std::int64_t since = 0;
+    if (this->closed_since.compare_exchange_strong(since, to_count(now))) {
+        since = to_count(now);
+    }
+    this->urgent.store(true, std::memory_order_release);
+    return to_count(now) - since < duration{proof_grace}.count() ? admission::wait
+                                                                 : admission::unproved;
+}
+
 admission rights::decide(shard& part, account& entry, const organisation& limits, time_point now)
 {
     const bool fenced = to_count(now) >= this->fence_deadline.load(std::memory_order_acquire);
     if (part.units > 0 && fenced) {
-        return admission::unproved;
+        return this->decide_unproved(now);
     }
     const bool taken = entry.take(part.units, now);
     const bool low = !taken || entry.tokens() < 1;
@@ -94,9 +109,23 @@
     return this->decide(part, this->find_or_make(part, limits, now), limits, now);
 }
 
+admission rights::last_try(const organisation& limits, time_point now)
+{
+    const admission result = this->retry(limits, now);
+    if (result != admission::wait) {
+        return result;
+    }
+    const bool fenced = to_count(now) >= this->fence_deadline.load(std::memory_order_acquire);
+    return fenced || this->units() == 0 ? admission::unproved : admission::over_rate;
+}
+
 void rights::set_fence(time_point deadline)
 {
-    this->fence_deadline.store(to_count(deadline), std::memory_order_release);
+    const std::int64_t before =
+        this->fence_deadline.exchange(to_count(deadline), std::memory_order_acq_rel);
+    if (to_count(deadline) > before) {
+        this->closed_since.store(0, std::memory_order_release);
+    }
 }
 
 void rights::change_layers(std::int64_t before, std::int64_t after, time_point now)
--- a/src/limits/rights.hpp
+++ b/src/limits/rights.hpp
@@ -17,9 +17,10 @@
 
 namespace dragonflyroad {
 
-/// `wait`: peers may have tokens; ask again after the next loan, or refuse at the request's own
-/// deadline. `over_rate`: nobody has. `unproved`: the node's seat is not proved (fence closed), or
-/// it has none and nobody lends.
+/// `wait`: peers may have tokens, or the fence has just closed and evidence may be on its way; call
+/// retry() after the next loan or acknowledgement, and last_try() at the end of the wait (about
+/// 100 ms). `over_rate`: nobody has tokens. `unproved`: the node's seat is not proved (fence
+/// closed), or it has none and nobody lends.
 enum class admission { admitted, wait, over_rate, unproved };
 
 /// Loan traffic to send now.
@@ -41,6 +42,9 @@
     /// Tries again for a request that was told to wait.
     admission retry(const organisation& limits, time_point now);
 
+    /// Tries for the last time; never returns `wait`.
+    admission last_try(const organisation& limits, time_point now);
+
     /// Up to when the seat's own units may be used; written by the rights controller.
     void set_fence(time_point deadline);
 
@@ -117,6 +121,7 @@
     account& find_or_make(shard& part, const organisation& limits, time_point now);
     double idle_tokens(const organisation& limits, time_point now) const;
     bool any_lent(time_point now, bool beyond_units);
+    admission decide_unproved(time_point now);
     admission decide(shard& part, account& entry, const organisation& limits, time_point now);
     void change_layers(std::int64_t before, std::int64_t after, time_point now);
     void plan_shortage(const organisation_id& name, account& entry, std::int64_t units_held,
@@ -136,6 +141,8 @@
     seat_key self;
     std::atomic<std::int64_t> own{0};
     std::atomic<std::int64_t> fence_deadline{0};
+    /// When an admission first found the fence closed, 0 while it is open.
+    std::atomic<std::int64_t> closed_since{0};
     std::atomic<bool> urgent{false};
     std::atomic<bool> stopping{false};
     std::array<shard, shard_count> shards;
--- a/src/limits/rights_controller.cpp
+++ b/src/limits/rights_controller.cpp
@@ -45,6 +45,9 @@
     if (next.seat_lost) {
         return next;
     }
+    // With pings every 500 ms the fence normally has more than 4 s left.
+    constexpr std::chrono::milliseconds short_of_proof{3'000};
+    next.wants_proof = this->own_seat() != nullptr && this->guard.deadline() - now < short_of_proof;
     if (this->wants_read && now >= this->next_read) {
         next.read_ledger = true;
         this->next_read = now + retry_interval * (1 + this->last_rank);
--- a/src/limits/rights_controller.hpp
+++ b/src/limits/rights_controller.hpp
@@ -44,6 +44,8 @@
     /// Read `rights/ledger` and pass it to note_read().
     bool read_ledger = false;
     std::vector<addressed<consent_request>> consents;
+    /// The fence is closed or close to it: ping the witnesses and a few peers now.
+    bool wants_proof = false;
     /// The seat was reclaimed. The process must take a new run number and call rejoin().
     bool seat_lost = false;
 };
--- a/test/support/limits_fleet.hpp
+++ b/test/support/limits_fleet.hpp
@@ -254,6 +254,9 @@
             this->rename(node, {next.node, run});
             return;
         }
+        if (step.wants_proof) {
+            this->ping_some(node);
+        }
         const incarnation run = node.run;
         if (step.write) {
             this->store.write(*step.write, [this, &node, run](auto outcome, auto version) {
@@ -428,12 +431,13 @@
         std::swap(again, node.waiting);
         const time_point now = this->local(node);
         for (auto& request : again) {
-            admission result = node.quota->retry(*request.limits, now);
-            if (result == admission::wait && now < request.deadline) {
+            const bool over = now >= request.deadline;
+            const admission result = over ? node.quota->last_try(*request.limits, now)
+                                          : node.quota->retry(*request.limits, now);
+            if (result == admission::wait) {
                 node.waiting.push_back(std::move(request));
                 continue;
             }
-            result = result == admission::wait ? admission::over_rate : result;
             request.done(result);
         }
     }
