Run the whole path in separate processes: store, node, upstream, callers

Cause: the thin path has to be served end to end by separate processes before the rest is built. Change: the program of the stand-in store. Before: no request could be served.

--- /dev/null
+++ b/standin/store_main.cpp
@@ -0,0 +1,38 @@
+#include "adapters/command_line.hpp"
+#include "adapters/log.hpp"
+#include "core/failure.hpp"
+#include "standin/stop_signal.hpp"
+#include "standin/store.hpp"
+
+#include <string>
+
+using namespace dragonflyroad;
+
+int main(int argc, char** argv)
+{
+    CLI::App app{"A small key-value store with faults that can be switched on while it runs"};
+    std::string address = "127.0.0.1:0";
+    bool check = false;
+    app.set_version_flag("--version", "0.1.0");
+    app.add_option("--address", address, "ip:port to listen on; port 0 takes any");
+    app.add_flag("--check", check, "validate the command line and exit");
+    if (const auto code = parse_command_line(app, argc, argv)) {
+        return *code;
+    }
+    if (check) {
+        return exit_done;
+    }
+    standin::block_stop_signals();
+    standin::store_server server;
+    if (!server.start(address)) {
+        log_line{"start_failed"}
+            .add("peer", last_failure().peer)
+            .add("detail", last_failure().detail);
+        return exit_failed;
+    }
+    log_line{"store_started"}.add("address", address);
+    standin::wait_for_stop_signal();
+    server.stop();
+    log_line{"store_stopped"}.add("address", address);
+    return exit_done;
+}
