--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -42,7 +42,7 @@
     if (cancel.is_cancelled()) {
         connection->interrupt();
     }
-    const exchange_result result = connection->exchange(request, receiver);
+    exchange_result result = connection->exchange(request, receiver);
     cancel.set_interrupt({});
     if (connection->is_reusable() && !cancel.is_cancelled()) {
         this->keep(upstream, std::move(connection));
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -5,7 +5,6 @@
 #include "core/failure.hpp"
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <utility>
 #include <vector>
@@ -35,6 +34,16 @@
     return head;
 }
 
+std::size_t head_size(const mg_request_info& info)
+{
+    const request_head head = read_head(info);
+    std::size_t size = head.method.size() + head.target.size();
+    for (const http_header& header : head.headers) {
+        size += header.name.size() + header.value.size() + 4;
+    }
+    return size;
+}
+
 bool ends_connection(const mg_request_info& info)
 {
     for (int index = 0; index < std::clamp(info.num_headers, 0, MG_MAX_HEADERS); ++index) {
@@ -60,6 +69,7 @@
 
     int handle(mg_connection* connection);
     int handle_error(mg_connection* connection, int status, const char* message);
+    void handle_close(const mg_connection* connection);
 };
 
 int http_server::implementation::handle(mg_connection* connection)
@@ -75,6 +85,9 @@
         // The library drops further headers silently, so that framing headers could be missed.
         exchange.set_fault(request_fault::header_too_large, "too many headers");
     }
+    else if (head_size(info) > this->options.max_header_bytes) {
+        exchange.set_fault(request_fault::header_too_large, "the headers are too long");
+    }
     else if (info.http_version == nullptr || std::string_view{info.http_version} != "1.1") {
         exchange.set_fault(request_fault::malformed, "only HTTP/1.1 is served");
     }
@@ -103,141 +116,16 @@
     return 0;
 }
 
-http_exchange::http_exchange(mg_connection* handle, request_head received,
-                             std::chrono::milliseconds timeout)
-    : connection(handle), request(std::move(received)), body_deadline(boot_clock::now() + timeout)
-{
-}
-
-void http_exchange::set_fault(request_fault value, std::string text)
-{
-    this->server_fault = value;
-    this->detail = std::move(text);
-}
-
-body_outcome http_exchange::read_body(std::uint64_t limit, std::string& body)
-{
-    const auto length = find_header(this->request.headers, "Content-Length");
-    const bool is_chunked = find_header(this->request.headers, "Transfer-Encoding").has_value();
-    if (!length && !is_chunked) {
-        return body_outcome::complete;
-    }
-    const std::uint64_t expected = length ? parse_content_length(*length).value_or(0) : 0;
-    if (expected > limit) {
-        this->close();
-        return body_outcome::too_large;
-    }
-    this->send_continue();
-    const body_outcome outcome = this->read_until_end(length ? expected : limit, body);
-    if (outcome == body_outcome::complete && length && body.size() != expected) {
-        this->close();
-        return body_outcome::malformed;
-    }
-    if (outcome != body_outcome::complete || is_chunked) {
-        // Trailers after a chunked body are not read, so the connection cannot be used again.
-        this->close();
-    }
-    return outcome;
-}
-
-body_outcome http_exchange::read_until_end(std::uint64_t limit, std::string& body)
-{
-    std::array<char, 16384> buffer{};
-    while (true) {
-        const int count = mg_read(this->connection, buffer.data(), buffer.size());
-        if (count < 0) {
-            return body_outcome::malformed;
-        }
-        if (count == 0) {
-            return body_outcome::complete;
-        }
-        if (body.size() + static_cast<std::size_t>(count) > limit) {
-            return body_outcome::too_large;
-        }
-        body.append(buffer.data(), static_cast<std::size_t>(count));
-        if (boot_clock::now() > this->body_deadline) {
-            return body_outcome::malformed;
-        }
-    }
-}
-
-void http_exchange::send_continue()
-{
-    const auto expectation = find_header(this->request.headers, "Expect");
-    if (expectation && equal_ignoring_case(*expectation, "100-continue")) {
-        this->write_all("HTTP/1.1 100 Continue\r\n\r\n");
-    }
-}
-
-bool http_exchange::send(int status, const http_headers& headers, std::string_view body)
-{
-    this->begin({status, headers, body.size()});
-    return this->write(body) && this->finish();
-}
-
-void http_exchange::begin(const response_head& head)
-{
-    this->sent_status = head.status;
-    const bool is_bodiless_status = head.status == 204 || head.status == 304;
-    this->has_body = !is_bodiless_status && this->request.method != "HEAD";
-    this->chunked = this->has_body && !head.length;
-    std::string text = fmt::format("HTTP/1.1 {} {}\r\n", head.status, status_phrase(head.status));
-    for (const http_header& header : head.headers) {
-        text += header.name + ": " + header.value + "\r\n";
-    }
-    if (head.length && head.status != 204) {
-        text += fmt::format("Content-Length: {}\r\n", *head.length);
-    }
-    if (this->chunked) {
-        text += "Transfer-Encoding: chunked\r\n";
-    }
-    text += this->closing ? "Connection: close\r\n\r\n" : "\r\n";
-    this->unsent = std::move(text);
-}
-
-bool http_exchange::write(std::string_view bytes)
-{
-    if (bytes.empty() || !this->has_body) {
-        return true;
-    }
-    std::string text = std::exchange(this->unsent, {});
-    if (this->chunked) {
-        text += fmt::format("{:x}\r\n", bytes.size());
-        text.append(bytes).append("\r\n");
-    }
-    else if (text.empty()) {
-        return this->write_all(bytes);
-    }
-    else {
-        text.append(bytes);
-    }
-    return this->write_all(text);
-}
-
-bool http_exchange::finish()
-{
-    std::string text = std::exchange(this->unsent, {});
-    if (this->chunked) {
-        text += "0\r\n\r\n";
-    }
-    return text.empty() || this->write_all(text);
-}
-
-void http_exchange::close()
+void http_server::implementation::handle_close(const mg_connection* connection)
 {
-    this->closing = true;
-    mg_disable_connection_keep_alive(this->connection);
-}
-
-bool http_exchange::write_all(std::string_view bytes)
-{
-    this->sent = true;
-    const int written = mg_write(this->connection, bytes.data(), bytes.size());
-    if (written < 0 || static_cast<std::size_t>(written) != bytes.size()) {
-        this->close();
-        return false;
+    const mg_request_info* const info = mg_get_request_info(connection);
+    const bool is_dropped = info != nullptr && info->request_uri != nullptr &&
+                            info->local_uri == nullptr &&
+                            std::string_view{info->request_uri}.starts_with("http");
+    if (is_dropped && !this->stopping) {
+        // The library closes the connection without an answer when a target names another host.
+        this->handle_error(const_cast<mg_connection*>(connection), 400, "the target is not a path");
     }
-    return true;
 }
 
 http_server::http_server(std::unique_ptr<implementation> parts) : impl(std::move(parts)) {}
@@ -257,11 +145,17 @@
         return static_cast<implementation*>(mg_get_user_context_data(connection))
             ->handle_error(connection, status, message);
     };
+    callbacks.connection_close = [](const mg_connection* connection) {
+        static_cast<implementation*>(mg_get_user_context_data(connection))
+            ->handle_close(connection);
+    };
     callbacks.log_message = [](const mg_connection*, const char*) { return 1; };
     const std::string threads = std::to_string(options.threads);
     const std::string request_timeout = std::to_string(options.request_timeout.count());
     const std::string keep_alive = std::to_string(options.keep_alive_timeout.count());
-    const std::string header_bytes = std::to_string(options.max_header_bytes);
+    // The library reports a head beyond its buffer as malformed. A larger buffer lets the handler
+    // tell most oversized heads apart.
+    const std::string header_bytes = std::to_string(options.max_header_bytes * 4);
     const std::vector<const char*> settings{"listening_ports",
                                             options.address.c_str(),
                                             "num_threads",
--- a/src/adapters/upstream_connection.cpp
+++ b/src/adapters/upstream_connection.cpp
@@ -14,6 +14,22 @@
 constexpr std::string_view plain_head = "HTTP/1.1 200 OK\r\n\r\n";
 constexpr std::string_view bodiless_head = "HTTP/1.1 204 No Content\r\n\r\n";
 
+/// Bodies up to this size go out together with the head, in one packet where they fit.
+constexpr std::size_t largest_joined_body = 16U << 10U;
+
+std::string serialise_head(const outbound_request& request)
+{
+    std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    for (const http_header& header : request.headers) {
+        text += header.name + ": " + header.value + "\r\n";
+    }
+    const bool may_have_body = request.method != "GET" && request.method != "HEAD";
+    if (!request.body.empty() || may_have_body) {
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    return text + "\r\n";
+}
+
 enum class wait_outcome { ready, timed_out, failed };
 
 wait_outcome wait_for(int descriptor, short events, time_point until)
@@ -72,6 +88,18 @@
         return recv(this->descriptor, into, size, 0);
     }
 
+    bool transmit_all(std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            const long count = this->transmit(bytes.data(), bytes.size());
+            if (count <= 0) {
+                return false;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+        }
+        return true;
+    }
+
     long transmit(const char* bytes, std::size_t size)
     {
         const wait_outcome outcome = wait_for(this->descriptor, POLLOUT, this->next_limit());
@@ -98,9 +126,21 @@
     void get_local_ip_and_port(std::string&, int&) const override {}
     socket_t socket() const override { return this->run.descriptor; }
 
-    ssize_t write(const char* bytes, size_t size) override
+    /// The library writes its request in one call, with headers that the client did not send. Ours
+    /// goes out in its place.
+    ssize_t write(const char*, size_t size) override
     {
-        return this->run.transmit(bytes, size);
+        if (std::exchange(this->written, true)) {
+            return -1;
+        }
+        const outbound_request& request = this->run.request;
+        std::string text = serialise_head(request);
+        if (request.body.size() <= largest_joined_body) {
+            text.append(request.body);
+            return this->run.transmit_all(text) ? static_cast<ssize_t>(size) : -1;
+        }
+        const bool is_sent = this->run.transmit_all(text) && this->run.transmit_all(request.body);
+        return is_sent ? static_cast<ssize_t>(size) : -1;
     }
 
     ssize_t read(char* into, size_t size) override
@@ -136,6 +176,7 @@
 
     Run& run;
     std::string_view head_left;
+    bool written = false;
 };
 
 } // namespace
@@ -163,17 +204,6 @@
     httplib::Request request;
     request.method = outbound.method;
     request.path = outbound.target;
-    for (const http_header& header : outbound.headers) {
-        request.headers.emplace(header.name, header.value);
-    }
-    if (!outbound.body.empty()) {
-        // A provider instead of `body`, for which the library would add a Content-Type.
-        request.content_length_ = outbound.body.size();
-        request.content_provider_ = [&](std::size_t offset, std::size_t length,
-                                        httplib::DataSink& sink) {
-            return sink.write(outbound.body.data() + offset, length);
-        };
-    }
     request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t,
                                    std::uint64_t) {
         run.cancelled = !receiver.on_body({data, size});
--- a/src/adapters/upstream_connection.hpp
+++ b/src/adapters/upstream_connection.hpp
@@ -12,10 +12,10 @@
 
 namespace dragonflyroad {
 
-/// One connection to an upstream, for one exchange at a time. The HTTP library connects and writes
-/// the request; the socket's bytes pass through a stream of our own, because the library (0.11.4)
-/// percent-decodes the header values of an answer, accepts some truncated chunked bodies as whole,
-/// and does not tell whether anything was written.
+/// One connection to an upstream, for one exchange at a time. The HTTP library connects and drives
+/// the exchange; the socket's bytes pass through a stream of our own, because the library (0.11.4)
+/// adds headers to the request, percent-decodes the header values of an answer, accepts some
+/// truncated chunked bodies as whole, and does not tell whether anything was written.
 class upstream_connection : private httplib::ClientImpl {
 public:
     upstream_connection(const std::string& host, int port);
--- a/src/node/gates.hpp
+++ b/src/node/gates.hpp
@@ -44,22 +44,22 @@
 };
 
 /// Identifies an unsafe request across its client's retries.
-struct claim_key {
+struct claim_subject {
     organisation_id organisation;
     service_name service;
     std::string key;
 };
 
-enum class claim_verdict { granted, in_progress, done, unknown, unavailable };
+enum class claim_decision { granted, in_progress, done, unknown, unavailable };
 
 class claim_gate {
 public:
     virtual ~claim_gate() = default;
     /// `repeat_window` is how long the claim is remembered after its end.
-    virtual claim_verdict claim(const claim_key& key, std::chrono::milliseconds repeat_window,
-                                time_point deadline) = 0;
+    virtual claim_decision claim(const claim_subject& key, std::chrono::milliseconds repeat_window,
+                                 time_point deadline) = 0;
     /// Ends a granted claim; after `ran::no` the key may be claimed again.
-    virtual void complete(const claim_key& key, ran executed) = 0;
+    virtual void complete(const claim_subject& key, ran executed) = 0;
 };
 
 /// How an attempt ended, for the statistics of the upstream.
--- a/src/node/pipeline.cpp
+++ b/src/node/pipeline.cpp
@@ -237,26 +237,26 @@
         key->size() > max_idempotency_key) {
         return refuse(refusal_reason::malformed_request, "Idempotency-Key is not acceptable");
     }
-    const claim_key wanted{context.tenant->id, context.service, std::string{*key}};
+    const claim_subject wanted{context.tenant->id, context.service, std::string{*key}};
     refusal refused = refuse(refusal_reason::repeat_in_progress);
     switch (this->parts.decisions.claims->claim(wanted, context.rules->repeat_window,
                                                 context.deadline)) {
-    case claim_verdict::granted:
+    case claim_decision::granted:
         context.claim = wanted;
         return std::nullopt;
-    case claim_verdict::in_progress:
+    case claim_decision::in_progress:
         refused.executed = ran::unknown;
         refused.retry_after = std::chrono::seconds{1};
         return refused;
-    case claim_verdict::done:
+    case claim_decision::done:
         refused.reason = refusal_reason::repeat_done;
         refused.executed = ran::yes;
         return refused;
-    case claim_verdict::unknown:
+    case claim_decision::unknown:
         refused.reason = refusal_reason::repeat_unknown;
         refused.executed = ran::unknown;
         return refused;
-    case claim_verdict::unavailable:
+    case claim_decision::unavailable:
         break;
     }
     refused.reason = refusal_reason::claim_unavailable;
--- a/src/node/request_context.hpp
+++ b/src/node/request_context.hpp
@@ -31,7 +31,7 @@
     std::string body;
     std::uint64_t fingerprint = 0;
     bool is_repeatable = false;
-    std::optional<claim_key> claim;
+    std::optional<claim_subject> claim;
     /// What is known of the request's execution so far.
     ran executed = ran::no;
     /// Time spent on exchanges with upstreams.
--- a/src/node/simple_gates.cpp
+++ b/src/node/simple_gates.cpp
@@ -5,7 +5,7 @@
 namespace dragonflyroad {
 namespace {
 
-std::string text_of(const claim_key& key)
+std::string text_of(const claim_subject& key)
 {
     return key.organisation.value + '\n' + key.service.value + '\n' + key.key;
 }
@@ -28,14 +28,15 @@
     return rate_verdict::admitted;
 }
 
-claim_verdict local_claims::claim(const claim_key& key, std::chrono::milliseconds, time_point)
+claim_decision local_claims::claim(const claim_subject& key, std::chrono::milliseconds, time_point)
 {
     const std::scoped_lock lock{this->mutex};
-    const auto [found, is_new] = this->claims.try_emplace(text_of(key), claim_verdict::in_progress);
-    return is_new ? claim_verdict::granted : found->second;
+    const auto [found, is_new] =
+        this->claims.try_emplace(text_of(key), claim_decision::in_progress);
+    return is_new ? claim_decision::granted : found->second;
 }
 
-void local_claims::complete(const claim_key& key, ran executed)
+void local_claims::complete(const claim_subject& key, ran executed)
 {
     const std::scoped_lock lock{this->mutex};
     if (executed == ran::no) {
@@ -43,7 +44,7 @@
         return;
     }
     this->claims[text_of(key)] =
-        executed == ran::yes ? claim_verdict::done : claim_verdict::unknown;
+        executed == ran::yes ? claim_decision::done : claim_decision::unknown;
 }
 
 void local_upstreams::set_upstreams(const std::vector<announced_upstream>& announced)
--- a/src/node/simple_gates.hpp
+++ b/src/node/simple_gates.hpp
@@ -48,13 +48,13 @@
 
 class local_claims : public claim_gate {
 public:
-    claim_verdict claim(const claim_key& key, std::chrono::milliseconds repeat_window,
-                        time_point deadline) override;
-    void complete(const claim_key& key, ran executed) override;
+    claim_decision claim(const claim_subject& key, std::chrono::milliseconds repeat_window,
+                         time_point deadline) override;
+    void complete(const claim_subject& key, ran executed) override;
 
 private:
     std::mutex mutex;
-    std::map<std::string, claim_verdict> claims;
+    std::map<std::string, claim_decision> claims;
 };
 
 /// Picks the announced upstream with the fewest requests in flight; waits for a free slot.
--- a/test/correctness/test_pipeline.cpp
+++ b/test/correctness/test_pipeline.cpp
@@ -33,3 +33,51 @@
         CHECK_MESSAGE(request.find(text) == std::string::npos, text);
     }
 }
+
+// Guards against answers that are held in memory whole, changed, or cut on their way.
+TEST_CASE("a large answer is streamed unchanged")
+{
+    std::string body;
+    for (int block = 0; block < 4'000; ++block) {
+        body += std::string(4'096, static_cast<char>('a' + block % 26));
+    }
+    std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t at = 0; at < body.size(); at += 40'960) {
+        chunked += "a000\r\n" + body.substr(at, 40'960) + "\r\n";
+    }
+    chunked += "0\r\nX-Trailer: a\r\n\r\n";
+    fake_upstream upstream{[&](const std::string& request) {
+        const bool is_chunked = request.find("/marks/chunked") != std::string::npos;
+        return fake_upstream::reply{is_chunked ? chunked : plain_answer(200, body), false, false};
+    }};
+    test_node fleet;
+    fleet.start();
+    fleet.announce(upstream.address());
+    raw_client client{fleet.caller()};
+    for (const char* target : {"/marks/chunked", "/marks/plain", "/marks/chunked"}) {
+        const auto answer = client.exchange(request_text("GET", target));
+        CHECK(answer.status == 200);
+        CHECK_FALSE(answer.is_cut);
+        CHECK(answer.body == body);
+    }
+    CHECK(upstream.connections() == 1);
+}
+
+// Guards against a decision that cannot be explained afterwards.
+TEST_CASE("the admin port explains a request by its id")
+{
+    fake_upstream upstream{
+        [](const std::string&) { return fake_upstream::reply{plain_answer(200, "hello")}; }};
+    test_node fleet;
+    fleet.start();
+    fleet.announce(upstream.address());
+    raw_client client{fleet.caller()};
+    client.exchange(request_text("GET", "/marks/1?secret=1"));
+    raw_client admin{fleet.admin()};
+    const auto found = admin.exchange(request_text("GET", "/v1/explain/node-1-abc-1", ""));
+    CHECK(found.body.find("\"result\":\"answered\"") != std::string::npos);
+    CHECK(found.body.find("\"organisation\":\"acme\"") != std::string::npos);
+    CHECK(found.body.find("upstream=" + upstream.address() + " end=complete") != std::string::npos);
+    CHECK(found.body.find("secret") == std::string::npos);
+    CHECK(admin.exchange(request_text("GET", "/v1/explain/unknown", "")).status == 404);
+}
--- /dev/null
+++ b/test/error/test_key_withdrawal.cpp
@@ -0,0 +1,65 @@
+#include "core/digest.hpp"
+#include "test/support/fake_upstream.hpp"
+#include "test/support/raw_socket.hpp"
+#include "test/support/test_node.hpp"
+
+#include <doctest/doctest.h>
+#include <future>
+
+using namespace dragonflyroad;
+using namespace dragonflyroad::test;
+
+// Guards against a key that goes on working on a connection that was opened before it was
+// withdrawn, and against cutting the answer that was on its way.
+TEST_CASE("a withdrawn key is refused on an open connection")
+{
+    std::promise<void> arrived;
+    std::promise<void> release;
+    const std::shared_future<void> released = release.get_future().share();
+    fake_upstream upstream{[&](const std::string& request) {
+        if (request.find("/marks/held") != std::string::npos) {
+            arrived.set_value();
+            released.wait();
+        }
+        return fake_upstream::reply{plain_answer(200, "hello"), false, false};
+    }};
+    test_node fleet;
+    fleet.start();
+    fleet.announce(upstream.address());
+    raw_client client{fleet.caller()};
+    raw_client waiting{fleet.caller()};
+    CHECK(client.exchange(request_text("GET", "/marks/1")).status == 200);
+    waiting.send(request_text("GET", "/marks/held"));
+    arrived.get_future().wait();
+    fleet.config.keys[sha256_hex("acme-key")].state = key_state::withdrawn;
+    fleet.publish();
+    const auto refused = client.exchange(request_text("GET", "/marks/1"));
+    CHECK(refused.status == 401);
+    CHECK(refused.body.find("\"reason\":\"key_withdrawn\"") != std::string::npos);
+    CHECK(refused.body.find("\"revision\":2") != std::string::npos);
+    release.set_value();
+    CHECK(waiting.receive().body == "hello");
+}
+
+// Guards against serving keys that cannot be proved valid, where the profile forbids it.
+TEST_CASE("keys are refused or served by profile while their validity is unproved")
+{
+    class fixed_state : public freshness_gate {
+    public:
+        proof_state state(time_point) override { return this->value; }
+        proof_state value = proof_state::isolated;
+    };
+    const auto freshness = std::make_shared<fixed_state>();
+    fake_upstream upstream{
+        [](const std::string&) { return fake_upstream::reply{plain_answer(200, "hello")}; }};
+    test_node fleet;
+    fleet.decisions.freshness = freshness;
+    fleet.start();
+    fleet.announce(upstream.address());
+    raw_client client{fleet.caller()};
+    const auto refused = client.exchange(request_text("GET", "/marks/1"));
+    CHECK(refused.status == 503);
+    CHECK(refused.body.find("\"reason\":\"key_unverified\"") != std::string::npos);
+    freshness->value = proof_state::fleet_only;
+    CHECK(client.exchange(request_text("GET", "/marks/1")).status == 200);
+}
