Route requests by the routing and retry modules

Upstreams were picked by the least requests in flight, with unlimited retries. A broken exchange is followed by a connection attempt: an upstream that refuses it counts as crashed by the request.

--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -97,6 +97,16 @@
     }
 }
 
+bool http_client::can_connect(const upstream_id& upstream, std::chrono::milliseconds timeout)
+{
+    const auto port = port_of(upstream.value);
+    if (!port) {
+        return false;
+    }
+    upstream_connection connection{upstream.value.substr(0, upstream.value.rfind(':')), *port};
+    return connection.connect(timeout);
+}
+
 void http_client::close_idle(const upstream_id& upstream)
 {
     const std::scoped_lock lock{this->mutex};
--- a/src/adapters/http_client.hpp
+++ b/src/adapters/http_client.hpp
@@ -26,6 +26,8 @@
     exchange_result exchange(const upstream_id& upstream, const outbound_request& request,
                              answer_receiver& receiver, cancellation& cancel) override;
 
+    bool can_connect(const upstream_id& upstream, std::chrono::milliseconds timeout) override;
+
     /// Closes the idle connections to an upstream that is gone.
     void close_idle(const upstream_id& upstream);
 
--- a/src/adapters/transport.hpp
+++ b/src/adapters/transport.hpp
@@ -107,6 +107,9 @@
 
     virtual exchange_result exchange(const upstream_id& upstream, const outbound_request& request,
                                      answer_receiver& receiver, cancellation& cancel) = 0;
+
+    /// Whether the upstream accepts a connection now; nothing is sent on it.
+    virtual bool can_connect(const upstream_id& upstream, std::chrono::milliseconds timeout) = 0;
 };
 
 } // namespace dragonflyroad
--- a/src/adapters/upstream_connection.cpp
+++ b/src/adapters/upstream_connection.cpp
@@ -220,6 +220,19 @@
     return result;
 }
 
+bool upstream_connection::connect(std::chrono::milliseconds timeout)
+{
+    this->set_connection_timeout(timeout);
+    httplib::Error error = httplib::Error::Success;
+    const std::scoped_lock lock{this->socket_mutex_};
+    if (!this->socket_.is_open() && !this->create_and_connect_socket(this->socket_, error)) {
+        return false;
+    }
+    this->shutdown_socket(this->socket_);
+    this->close_socket(this->socket_);
+    return true;
+}
+
 exchange_result upstream_connection::conclude(const running_exchange& run, bool succeeded) const
 {
     exchange_result result;
--- a/src/adapters/upstream_connection.hpp
+++ b/src/adapters/upstream_connection.hpp
@@ -27,6 +27,9 @@
 
     exchange_result exchange(const outbound_request& request, answer_receiver& receiver);
 
+    /// Connects, if it is not connected yet, and sends nothing.
+    bool connect(std::chrono::milliseconds timeout);
+
     /// Ends the running exchange, from another thread. Does not block.
     void interrupt();
 
--- a/src/node/forwarder.cpp
+++ b/src/node/forwarder.cpp
@@ -1,9 +1,11 @@
 #include "node/forwarder.hpp"
 
 #include "adapters/log.hpp"
+#include "core/failure.hpp"
 #include "node/answer_relay.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <fmt/format.h>
@@ -11,6 +13,9 @@
 namespace dragonflyroad {
 namespace {
 
+/// How long an upstream whose connection broke may take to accept another one.
+constexpr std::chrono::milliseconds crash_probe_timeout{200};
+
 std::string_view to_text(exchange_end end)
 {
     switch (end) {
@@ -72,8 +77,47 @@
     attempt_outcome outcome = attempt_outcome::connect_failed;
     int status = 0;
     bool lost_client = false;
-    retry_reason reason = retry_reason::connect_failed;
     bool needs_fresh_connection = false;
+
+    bool is_answered() const
+    {
+        return this->outcome == attempt_outcome::success ||
+               this->outcome == attempt_outcome::server_error;
+    }
+
+    attempt_failure failure() const
+    {
+        if (this->outcome == attempt_outcome::not_run) {
+            return attempt_failure::not_run;
+        }
+        switch (this->result.end) {
+        case exchange_end::complete:
+            return attempt_failure::answered;
+        case exchange_end::connect_failed:
+            return attempt_failure::connect_failed;
+        case exchange_end::timed_out:
+            return attempt_failure::timed_out;
+        case exchange_end::broken:
+        case exchange_end::invalid_answer:
+        case exchange_end::cancelled:
+            break;
+        }
+        return this->result.reused && this->status == 0 ? attempt_failure::stale_connection
+                                                        : attempt_failure::broken;
+    }
+
+    refusal_reason reason(time_point deadline) const
+    {
+        if (this->outcome == attempt_outcome::not_run) {
+            return refusal_reason::upstream_refused;
+        }
+        if (boot_clock::now() >= deadline) {
+            return refusal_reason::deadline_exceeded;
+        }
+        return this->outcome == attempt_outcome::connect_failed
+                   ? refusal_reason::no_healthy_upstream
+                   : refusal_reason::upstream_failed;
+    }
 };
 
 forwarder::forwarder(std::shared_ptr<transport> connections, gates choices, metrics& counts)
@@ -85,44 +129,39 @@
 {
     std::vector<upstream_id> tried;
     refusal failed{refusal_reason::no_healthy_upstream, ran::no, "", {}, 0, {}};
-    this->decisions.retries->note_request(context.service, boot_clock::now());
+    this->decisions.retries->note_request({context.service, context.tenant->id}, *context.rules);
     bool needs_fresh_connection = false;
-    while (true) {
+    for (std::uint32_t attempts = 1;; ++attempts) {
         refusal_reason why = refusal_reason::no_healthy_upstream;
         auto place = this->acquire(context, tried, why);
         if (!place) {
             // After a failed attempt its reason says more than the lack of a further upstream.
-            if (tried.empty()) {
-                failed.reason = why;
-                failed.retry_after = std::chrono::seconds{1};
-            }
+            failed.reason = attempts == 1 ? why : failed.reason;
             break;
         }
         attempt current;
         current.place = std::move(*place);
         current.needs_fresh_connection = needs_fresh_connection;
-        tried.push_back(current.place.upstream);
         this->run(context, current);
-        const verdict next = this->judge(context, current);
-        if (next == verdict::answered) {
+        if (current.is_answered() || context.exchange.has_sent()) {
+            this->end_answer(context, current);
             return std::nullopt;
         }
-        failed.reason = current.outcome == attempt_outcome::not_run
-                            ? refusal_reason::upstream_refused
-                        : boot_clock::now() >= context.deadline ? refusal_reason::deadline_exceeded
-                        : current.outcome == attempt_outcome::connect_failed
-                            ? refusal_reason::no_healthy_upstream
-                            : refusal_reason::upstream_failed;
+        failed.reason = current.reason(context.deadline);
         failed.detail = current.result.detail;
-        if (next == verdict::failed || !this->may_retry(context, current, tried.size())) {
+        const auto again = this->may_retry(context, current, attempts);
+        if (!again) {
             break;
         }
-        needs_fresh_connection = current.reason == retry_reason::stale_connection;
-        if (needs_fresh_connection) {
-            tried.pop_back();
+        needs_fresh_connection = *again == retry_reason::stale_connection;
+        if (!needs_fresh_connection) {
+            tried.push_back(current.place.upstream);
         }
     }
     failed.executed = context.executed;
+    if (failed.executed == ran::no) {
+        failed.retry_after = std::chrono::seconds{1};
+    }
     return failed;
 }
 
@@ -173,21 +212,38 @@
     current.result = this->carrier->exchange(current.place.upstream, request, relay, cancel);
     context.upstream_time += boot_clock::now() - began;
     current.outcome = classify(current.result, relay);
-    if (current.outcome == attempt_outcome::success ||
-        current.outcome == attempt_outcome::server_error) {
+    current.status = relay.status();
+    if (current.is_answered()) {
         relay.finish();
     }
-    current.status = relay.status();
     current.lost_client = relay.has_lost_client();
+    this->attribute(context, current);
+    this->decisions.upstreams->finish(current.place, current.outcome, current.result.reused);
     this->account(context, current);
 }
 
-void forwarder::account(request_context& context, attempt& current)
+/// Tells a crash that the request causes from a failure of the upstream.
+void forwarder::attribute(request_context& context, attempt& current)
 {
-    this->decisions.upstreams->finish(current.place, current.outcome, current.result.reused);
-    const bool is_done = current.outcome == attempt_outcome::success ||
-                         current.outcome == attempt_outcome::server_error;
-    if (is_done) {
+    if (current.outcome != attempt_outcome::broken || !current.result.sent) {
+        return;
+    }
+    const upstream_id& upstream = current.place.upstream;
+    if (this->carrier->can_connect(upstream, crash_probe_timeout)) {
+        return;
+    }
+    const time_point now = boot_clock::now();
+    context.has_crashed = true;
+    if (this->decisions.crash->is_suspect(context.fingerprint, upstream, now)) {
+        current.outcome = attempt_outcome::request_fault;
+    }
+    this->decisions.crash->note(context.fingerprint, upstream, now);
+    context.steps.push_back(fmt::format("crashed={}", upstream.value));
+}
+
+void forwarder::account(request_context& context, const attempt& current)
+{
+    if (current.is_answered()) {
         context.executed = ran::yes;
     }
     else if (current.result.sent && current.outcome != attempt_outcome::not_run) {
@@ -199,47 +255,17 @@
         current.status, current.result.sent, current.result.reused, current.result.detail));
 }
 
-forwarder::verdict forwarder::judge(request_context& context, attempt& current)
+/// Counts an answer that has gone to the client. One that is not whole ends its connection.
+void forwarder::end_answer(request_context& context, const attempt& current)
 {
-    switch (current.outcome) {
-    case attempt_outcome::success:
-    case attempt_outcome::server_error:
-        if (current.lost_client) {
-            this->end_cut_answer(context, current);
-        }
-        else {
-            this->counters.count_answer(current.status);
-        }
-        return verdict::answered;
-    case attempt_outcome::connect_failed:
-        current.reason = retry_reason::connect_failed;
-        return verdict::retry;
-    case attempt_outcome::not_run:
-        current.reason = retry_reason::not_run_by_upstream;
-        return verdict::retry;
-    case attempt_outcome::timed_out:
-        current.reason = retry_reason::timed_out;
-        break;
-    case attempt_outcome::broken:
-    case attempt_outcome::cancelled:
-        current.reason = current.result.reused && current.status == 0
-                             ? retry_reason::stale_connection
-                             : retry_reason::upstream_died;
-        break;
-    }
-    if (context.exchange.has_sent()) {
-        this->end_cut_answer(context, current);
-        return verdict::answered;
+    if (current.is_answered() && !current.lost_client) {
+        this->counters.count_answer(current.status);
+        return;
     }
-    return context.is_repeatable ? verdict::retry : verdict::failed;
-}
-
-void forwarder::end_cut_answer(request_context& context, const attempt& current)
-{
     context.exchange.close();
     if (current.lost_client) {
         this->counters.count_lost_client();
-        context.steps.push_back("the client stopped taking the answer");
+        context.steps.emplace_back("the client stopped taking the answer");
         return;
     }
     this->counters.count_cut_answer();
@@ -250,16 +276,20 @@
         .add("detail", current.result.detail);
 }
 
-bool forwarder::may_retry(request_context& context, attempt& current, std::size_t attempts)
+std::optional<retry_reason> forwarder::may_retry(request_context& context, const attempt& current,
+                                                 std::uint32_t attempts)
 {
-    const time_point now = boot_clock::now();
-    if (attempts >= context.rules->max_attempts || now >= context.deadline ||
-        !this->decisions.retries->may_retry(context.service, *context.rules, current.reason, now)) {
-        return false;
+    const retry_limits limits{context.is_repeatable, context.rules->max_attempts, context.deadline};
+    const failed_attempt failed{current.failure(), current.result.sent, false};
+    const auto reason = this->decisions.retries->may_retry(
+        {context.service, context.tenant->id}, limits, attempts, failed, boot_clock::now());
+    if (!reason) {
+        context.steps.push_back("no_retry=" + last_failure().detail);
+        return std::nullopt;
     }
-    this->counters.count_retry(current.reason);
-    context.steps.push_back(fmt::format("retry={}", to_code(current.reason)));
-    return true;
+    this->counters.count_retry(*reason);
+    context.steps.push_back(fmt::format("retry={}", to_code(*reason)));
+    return reason;
 }
 
 } // namespace dragonflyroad
--- a/src/node/forwarder.hpp
+++ b/src/node/forwarder.hpp
@@ -22,17 +22,17 @@
 
 private:
     struct attempt;
-    enum class verdict { answered, retry, failed };
 
     std::optional<upstream_place> acquire(const request_context& context,
                                           const std::vector<upstream_id>& tried,
                                           refusal_reason& why);
-    void run(request_context& context, attempt& current);
-    void account(request_context& context, attempt& current);
-    verdict judge(request_context& context, attempt& current);
-    void end_cut_answer(request_context& context, const attempt& current);
-    bool may_retry(request_context& context, attempt& current, std::size_t attempts);
     outbound_request build_request(const request_context& context) const;
+    void run(request_context& context, attempt& current);
+    void attribute(request_context& context, attempt& current);
+    void account(request_context& context, const attempt& current);
+    void end_answer(request_context& context, const attempt& current);
+    std::optional<retry_reason> may_retry(request_context& context, const attempt& current,
+                                          std::uint32_t attempts);
 
     std::shared_ptr<transport> carrier;
     gates decisions;
--- a/src/node/gates.hpp
+++ b/src/node/gates.hpp
@@ -4,6 +4,8 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "core/reasons.hpp"
+#include "retry/crash_log.hpp"
+#include "retry/retry_policy.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -38,9 +40,14 @@
 class crash_gate {
 public:
     virtual ~crash_gate() = default;
-    virtual bool is_blocked(std::uint64_t fingerprint, time_point now) = 0;
+    virtual crash_verdict ask(std::uint64_t fingerprint, time_point now) = 0;
     /// The upstream's connection broke while the request ran, and it then refused connections.
     virtual void note(std::uint64_t fingerprint, const upstream_id& upstream, time_point now) = 0;
+    /// A trial ended without a crash.
+    virtual void note_survived(std::uint64_t fingerprint, time_point now) = 0;
+    /// Whether the request has crashed another upstream lately.
+    virtual bool is_suspect(std::uint64_t fingerprint, const upstream_id& upstream,
+                            time_point now) = 0;
 };
 
 /// Identifies an unsafe request across its client's retries.
@@ -70,7 +77,9 @@
     connect_failed,
     broken,
     timed_out,
-    cancelled
+    cancelled,
+    /// A failure that the crash log attributes to the request.
+    request_fault
 };
 
 /// A place on an upstream, from acquire() to finish().
@@ -105,14 +114,22 @@
     virtual void finish(const upstream_place& place, attempt_outcome outcome, bool reused) = 0;
 };
 
+/// Whose budget a retry is taken from.
+struct retry_subject {
+    service_name service;
+    organisation_id organisation;
+};
+
 class retry_gate {
 public:
     virtual ~retry_gate() = default;
     /// Counts a first attempt.
-    virtual void note_request(const service_name& service, time_point now) = 0;
-    /// Takes one retry out of the service's budget, if there is one.
-    virtual bool may_retry(const service_name& service, const profile& rules, retry_reason reason,
-                           time_point now) = 0;
+    virtual void note_request(const retry_subject& subject, const profile& rules) = 0;
+    /// Whether to try again after `attempts` attempts, and by which reason; takes one retry out of
+    /// the budget.
+    virtual std::optional<retry_reason>
+    may_retry(const retry_subject& subject, const retry_limits& limits, std::uint32_t attempts,
+              const failed_attempt& attempt, time_point now) = 0;
 };
 
 struct gates {
--- a/src/node/head_reader.cpp
+++ b/src/node/head_reader.cpp
@@ -18,6 +18,7 @@
         rules.idle_timeout = std::chrono::milliseconds{item.value("idle_timeout_ms", 5'000)};
         rules.queue_timeout = std::chrono::milliseconds{item.value("queue_timeout_ms", 1'000)};
         rules.max_body_bytes = item.value("max_body_bytes", rules.max_body_bytes);
+        rules.retry_budget = item.value("retry_budget", rules.retry_budget);
         config.profiles[rules.name] = rules;
     }
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -12,6 +12,8 @@
 #include "node/explain_log.hpp"
 #include "node/periodic_task.hpp"
 #include "node/pipeline.hpp"
+#include "node/retry_gates.hpp"
+#include "node/routed_upstreams.hpp"
 #include "node/simple_gates.hpp"
 
 #include <atomic>
@@ -28,6 +30,7 @@
 
 constexpr std::size_t explained_requests = 4'096;
 constexpr std::chrono::milliseconds announcement_tick{100};
+constexpr std::chrono::milliseconds routing_tick{50};
 
 template<typename Gate, typename Default>
 void fill_in(std::shared_ptr<Gate>& gate, std::shared_ptr<Default> standard)
@@ -41,8 +44,9 @@
 
 struct node::parts {
     parts(const node_settings& given, gates given_gates, std::shared_ptr<transport> given_carrier,
-          std::shared_ptr<store> given_store, const std::string& prefix)
+          std::shared_ptr<store> given_store, const std::string& prefix, incarnation run)
         : settings(given),
+          upstreams(std::make_shared<routed_upstreams>(given.id, run)),
           announcements([this](const auto& list) { this->upstreams->set_upstreams(list); }),
           requests({this->board, this->complete(std::move(given_gates)), std::move(given_carrier),
                     this->counters, this->explanations, prefix}),
@@ -56,6 +60,7 @@
     std::string status();
     bool listen(const std::chrono::milliseconds& request_timeout);
     void start_controllers();
+    void evaluate_upstreams();
     void handle(http_exchange& exchange);
     void wait_until_idle();
 
@@ -63,7 +68,8 @@
     blackboard board;
     metrics counters;
     explain_log explanations{explained_requests};
-    std::shared_ptr<local_upstreams> upstreams = std::make_shared<local_upstreams>();
+    std::shared_ptr<shared_crash_log> crashes = std::make_shared<shared_crash_log>();
+    std::shared_ptr<routed_upstreams> upstreams;
     local_announcements announcements;
     pipeline requests;
     admin_port admin;
@@ -72,6 +78,7 @@
     std::unique_ptr<http_server> admin_server;
     std::unique_ptr<periodic_task> config_task;
     std::unique_ptr<periodic_task> announcement_task;
+    std::unique_ptr<periodic_task> routing_task;
     std::mutex mutex;
     std::condition_variable idle;
     std::size_t in_flight = 0;
@@ -83,10 +90,10 @@
 {
     fill_in(decisions.freshness, std::make_shared<always_current>());
     fill_in(decisions.rate, std::make_shared<local_rates>());
-    fill_in(decisions.crash, std::make_shared<no_crashes>());
+    fill_in(decisions.crash, this->crashes);
     fill_in(decisions.claims, std::make_shared<local_claims>());
     fill_in(decisions.upstreams, this->upstreams);
-    fill_in(decisions.retries, std::make_shared<unlimited_retries>());
+    fill_in(decisions.retries, std::make_shared<budgeted_retries>());
     return decisions;
 }
 
@@ -132,6 +139,30 @@
         this->announcements.expire(boot_clock::now());
         return duration{announcement_tick};
     });
+    this->routing_task = std::make_unique<periodic_task>([this] {
+        this->evaluate_upstreams();
+        return duration{routing_tick};
+    });
+}
+
+void node::parts::evaluate_upstreams()
+{
+    const auto current = this->board.config.read();
+    std::unordered_map<service_name, double> floors;
+    for (const auto& [name, entry] : current->services) {
+        const auto rules = current->profiles.find(entry.profile);
+        if (rules != current->profiles.end()) {
+            floors[name] = rules->second.floor;
+        }
+    }
+    for (const ejection_change& change : this->upstreams->tick(floors, boot_clock::now())) {
+        log_line{"upstream_step"}
+            .add("service", change.service.value)
+            .add("upstream", change.upstream.value)
+            .add("from", to_code(change.from))
+            .add("to", to_code(change.to))
+            .add("suspicion", change.suspicion);
+    }
 }
 
 void node::parts::handle(http_exchange& exchange)
@@ -197,6 +228,7 @@
     own.caller_server->stop();
     own.config_task->stop();
     own.announcement_task->stop();
+    own.routing_task->stop();
     own.admin_server->stop();
     log_line{"node_stopped"}.add("node", own.settings.id.value);
 }
@@ -251,17 +283,17 @@
     }
     const std::string prefix = fmt::format("{}-{:x}", this->settings.id.value, *this->run);
     auto assembled = std::make_unique<node::parts>(this->settings, this->decisions, this->carrier,
-                                                   this->store_client, prefix);
+                                                   this->store_client, prefix, *this->run);
     assembled->leave_time = this->leave_time;
     if (!assembled->listen(this->request_timeout)) {
         return nullptr;
     }
-    assembled->start_controllers();
     assembled->board.phase = node_phase::serving;
     log_line{"node_started"}
         .add("node", this->settings.id.value)
         .add("caller_address", assembled->caller_server->address())
         .add("admin_address", assembled->admin_server->address());
+    assembled->start_controllers();
     return std::unique_ptr<node>{new node{std::move(assembled)}};
 }
 
--- a/src/node/pipeline.cpp
+++ b/src/node/pipeline.cpp
@@ -52,14 +52,6 @@
     return authorization.empty() ? std::nullopt : std::optional{authorization};
 }
 
-std::uint64_t fingerprint_of(const request_context& context)
-{
-    const std::string text = fmt::format("{}\n{}\n{}\n{}\n{:x}", context.tenant->id.value,
-                                         context.service.value, context.exchange.head().method,
-                                         context.exchange.head().target, stable_hash(context.body));
-    return stable_hash(text);
-}
-
 } // namespace
 
 const std::array<pipeline::pass, 9> pipeline::passes{{
@@ -90,6 +82,9 @@
     if (context.claim) {
         this->release_claim(context);
     }
+    if (context.is_crash_trial && !context.has_crashed && context.executed == ran::yes) {
+        this->parts.decisions.crash->note_survived(context.fingerprint, boot_clock::now());
+    }
     if (refused) {
         this->respond(context, refused);
     }
@@ -206,7 +201,9 @@
 {
     switch (context.exchange.read_body(context.rules->max_body_bytes, context.body)) {
     case body_outcome::complete:
-        context.fingerprint = fingerprint_of(context);
+        context.fingerprint =
+            request_fingerprint(context.tenant->id, context.service, context.exchange.head().method,
+                                context.exchange.head().target, context.body);
         return std::nullopt;
     case body_outcome::too_large:
         return refuse(refusal_reason::body_too_large);
@@ -218,7 +215,10 @@
 
 pipeline::outcome pipeline::check_crashes(request_context& context)
 {
-    if (!this->parts.decisions.crash->is_blocked(context.fingerprint, boot_clock::now())) {
+    const crash_verdict verdict =
+        this->parts.decisions.crash->ask(context.fingerprint, boot_clock::now());
+    context.is_crash_trial = verdict == crash_verdict::trial;
+    if (verdict != crash_verdict::blocked) {
         return std::nullopt;
     }
     refusal refused = refuse(refusal_reason::crash_suspect);
@@ -300,17 +300,15 @@
         answer.profile = context.rules->name;
     }
     this->parts.counters.count_refusal(answer.reason);
-    const int status = describe(answer.reason).status;
-    context.exchange.send(status, refusal_headers(answer, context.id),
-                          refusal_body(answer, context.id));
-    if (describe(answer.reason).decided_by == decision_source::policy) {
-        return;
+    if (describe(answer.reason).decided_by == decision_source::system) {
+        log_line line{"refused"};
+        line.add("id", context.id).add("reason", describe(answer.reason).code);
+        line.add("organisation", context.tenant == nullptr ? "" : context.tenant->id.value);
+        line.add("service", context.service.value).add("ran", to_code(answer.executed));
+        line.add("detail", answer.detail);
     }
-    log_line line{"refused"};
-    line.add("id", context.id).add("reason", describe(answer.reason).code);
-    line.add("organisation", context.tenant == nullptr ? "" : context.tenant->id.value);
-    line.add("service", context.service.value).add("ran", to_code(answer.executed));
-    line.add("detail", answer.detail);
+    context.exchange.send(describe(answer.reason).status, refusal_headers(answer, context.id),
+                          refusal_body(answer, context.id));
 }
 
 void pipeline::record(const request_context& context, const outcome& refused)
--- a/src/node/request_context.hpp
+++ b/src/node/request_context.hpp
@@ -31,6 +31,9 @@
     std::string body;
     std::uint64_t fingerprint = 0;
     bool is_repeatable = false;
+    /// The first request after a time in which its like was refused for crashing upstreams.
+    bool is_crash_trial = false;
+    bool has_crashed = false;
     std::optional<claim_subject> claim;
     /// What is known of the request's execution so far.
     ran executed = ran::no;
--- a/src/node/simple_gates.hpp
+++ b/src/node/simple_gates.hpp
@@ -2,12 +2,9 @@
 
 #include "node/gates.hpp"
 
-#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <unordered_map>
-#include <unordered_set>
-#include <vector>
 
 namespace dragonflyroad {
 
@@ -40,12 +37,6 @@
     std::unordered_map<organisation_id, bucket> buckets;
 };
 
-class no_crashes : public crash_gate {
-public:
-    bool is_blocked(std::uint64_t, time_point) override { return false; }
-    void note(std::uint64_t, const upstream_id&, time_point) override {}
-};
-
 class local_claims : public claim_gate {
 public:
     claim_decision claim(const claim_subject& key, std::chrono::milliseconds repeat_window,
@@ -57,34 +48,4 @@
     std::map<std::string, claim_decision> claims;
 };
 
-/// Picks the announced upstream with the fewest requests in flight; waits for a free slot.
-class local_upstreams : public upstream_gate {
-public:
-    void set_upstreams(const std::vector<announced_upstream>& announced);
-    std::optional<upstream_place> acquire(const place_request& request,
-                                          refusal_reason& why) override;
-    void first_byte(const upstream_place&) override {}
-    void finish(const upstream_place& place, attempt_outcome outcome, bool reused) override;
-
-private:
-    struct entry {
-        announced_upstream announced;
-        std::uint32_t in_flight = 0;
-    };
-    entry* choose(const place_request& request, bool& any_usable);
-
-    std::mutex mutex;
-    std::condition_variable freed;
-    std::map<upstream_id, entry> entries;
-};
-
-class unlimited_retries : public retry_gate {
-public:
-    void note_request(const service_name&, time_point) override {}
-    bool may_retry(const service_name&, const profile&, retry_reason, time_point) override
-    {
-        return true;
-    }
-};
-
 } // namespace dragonflyroad
--- a/test/support/test_node.cpp
+++ b/test/support/test_node.cpp
@@ -24,6 +24,7 @@
                                     {"timeout_ms", rules.timeout.count()},
                                     {"idle_timeout_ms", rules.idle_timeout.count()},
                                     {"queue_timeout_ms", rules.queue_timeout.count()},
+                                    {"retry_budget", rules.retry_budget},
                                     {"max_body_bytes", rules.max_body_bytes}});
     }
     for (const auto& [name, entry] : config.services) {
