Join the node to the fleet membership

Announcements stayed on the node that received them. They now go through fleet_membership over UDP (the port number of the peer address), so that the other nodes use an upstream, and stop using it when it drains; crashes seen by peers reach the crash log. The facts that a message states are asked for before each message, because a statement made before a pause of the process may no longer hold.

membership and routing both defined an enum upstream_state with different values; membership's is now announced_state.

--- a/src/membership/announcements.cpp
+++ b/src/membership/announcements.cpp
@@ -44,7 +44,7 @@
 std::optional<upstream_record> announcement_table::announce(const upstream_offer& offer,
                                                             time_point now)
 {
-    if (offer.state == upstream_state::gone) {
+    if (offer.state == announced_state::gone) {
         return this->leave(offer.upstream, now);
     }
     const time_point expires = now + this->limits.renewal_window;
@@ -62,11 +62,11 @@
 {
     const auto found = this->entries.find(upstream);
     if (found == this->entries.end() || found->second.record.run != this->own_run ||
-        found->second.record.state == upstream_state::gone) {
+        found->second.record.state == announced_state::gone) {
         return std::nullopt;
     }
     upstream_record record = found->second.record;
-    record.state = upstream_state::gone;
+    record.state = announced_state::gone;
     return this->store_own(record, now + this->limits.removal_retention);
 }
 
@@ -91,7 +91,7 @@
     known.record = record;
     known.withheld = false;
     known.expires.reset();
-    if (record.state == upstream_state::gone) {
+    if (record.state == announced_state::gone) {
         known.expires = now + this->limits.removal_retention;
     }
     const auto lost = this->lost_until.find(record.run);
@@ -124,7 +124,7 @@
     for (auto& [upstream, known] : this->entries) {
         if (known.record.run == run && known.withheld) {
             known.withheld = false;
-            if (known.record.state != upstream_state::gone) {
+            if (known.record.state != announced_state::gone) {
                 known.expires.reset();
             }
             ++this->changes;
@@ -194,7 +194,7 @@
 
 bool announcement_table::is_usable(const entry& known) const
 {
-    return known.record.state != upstream_state::gone && !known.withheld;
+    return known.record.state != announced_state::gone && !known.withheld;
 }
 
 std::vector<upstream_record> announcement_table::in_rotation() const
--- a/src/membership/announcements.hpp
+++ b/src/membership/announcements.hpp
@@ -31,7 +31,7 @@
     service_name service;
     std::uint32_t slots = 0;
     /// `serving` or `draining`.
-    upstream_state state = upstream_state::serving;
+    announced_state state = announced_state::serving;
 };
 
 /// What became of a record received from a peer.
--- a/src/membership/fleet_membership.cpp
+++ b/src/membership/fleet_membership.cpp
@@ -123,7 +123,7 @@
 void fleet_membership::spread(const upstream_record& record, time_point now)
 {
     this->table.gossip().push(record);
-    if (record.state != upstream_state::serving) {
+    if (record.state != announced_state::serving) {
         this->table.request_round(now);
     }
 }
--- a/src/membership/message_reader.cpp
+++ b/src/membership/message_reader.cpp
@@ -142,7 +142,7 @@
         read.upstream = upstream_id{this->name(value[0])};
         read.service = service_name{this->name(value[1])};
         read.slots = static_cast<std::uint32_t>(this->number_below(value[2], max_slots));
-        read.state = static_cast<upstream_state>(this->number_below(value[3], state_count));
+        read.state = static_cast<announced_state>(this->number_below(value[3], state_count));
         read.run = this->number(value[4]);
         read.sequence = this->number(value[5]);
     }
--- a/src/membership/messages.hpp
+++ b/src/membership/messages.hpp
@@ -59,14 +59,14 @@
 };
 
 /// `gone` covers upstreams that deregistered and those whose renewals stopped.
-enum class upstream_state : std::uint8_t { serving, draining, gone };
+enum class announced_state : std::uint8_t { serving, draining, gone };
 
 /// An upstream as announced by the node on its VM; the highest (run, sequence) wins.
 struct upstream_record {
     upstream_id upstream;
     service_name service;
     std::uint32_t slots = 0;
-    upstream_state state = upstream_state::serving;
+    announced_state state = announced_state::serving;
     incarnation run = 0;
     std::uint64_t sequence = 0;
 
--- a/src/node/admin_port.cpp
+++ b/src/node/admin_port.cpp
@@ -1,6 +1,7 @@
 #include "node/admin_port.hpp"
 
 #include "core/failure.hpp"
+#include "node/announcements.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -62,13 +63,13 @@
         send_error(exchange, 400, last_failure().detail);
         return;
     }
-    this->parts.announcements.announce(*upstream, boot_clock::now());
+    this->parts.members.announce(*upstream, boot_clock::now());
     exchange.send(200, {{"Content-Type", "application/json"}}, "{}");
 }
 
 void admin_port::withdraw(http_exchange& exchange, const std::string& address)
 {
-    this->parts.announcements.withdraw(upstream_id{address});
+    this->parts.members.withdraw(upstream_id{address}, boot_clock::now());
     exchange.send(200, {{"Content-Type", "application/json"}}, "{}");
 }
 
--- a/src/node/admin_port.hpp
+++ b/src/node/admin_port.hpp
@@ -2,8 +2,8 @@
 
 #include "adapters/http_server.hpp"
 #include "adapters/metrics.hpp"
-#include "node/announcements.hpp"
 #include "node/explain_log.hpp"
+#include "node/membership_controller.hpp"
 
 #include <functional>
 #include <string>
@@ -13,7 +13,7 @@
 
 /// What the admin port shows and takes.
 struct admin_parts {
-    local_announcements& announcements;
+    membership_controller& members;
     metrics& counters;
     explain_log& explanations;
     /// The body of GET /v1/status, as JSON.
--- /dev/null
+++ b/src/node/membership_controller.cpp
@@ -0,0 +1,159 @@
+#include "node/membership_controller.hpp"
+
+#include "adapters/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflyroad {
+namespace {
+
+upstream_offer to_offer(const announced_upstream& upstream)
+{
+    return {upstream.id, upstream.service, upstream.slots,
+            upstream.draining ? announced_state::draining : announced_state::serving};
+}
+
+} // namespace
+
+membership_controller::membership_controller(membership_hooks functions, std::uint64_t seed)
+    : hooks(std::move(functions)), random(seed)
+{
+}
+
+bool membership_controller::start(const peer_card& self, const std::vector<std::string>& seeds,
+                                  const std::string& secret)
+{
+    this->members = std::make_unique<fleet_membership>(self, seeds, secret);
+    this->socket = udp_transport::open(
+        self.datagram_address,
+        [this](std::string_view bytes, const std::string&) { this->receive(bytes); });
+    if (this->socket == nullptr) {
+        return false;
+    }
+    this->ticker = std::make_unique<periodic_task>([this] { return this->tick(); });
+    return true;
+}
+
+void membership_controller::state_facts(time_point now)
+{
+    local_facts facts;
+    this->hooks.fill_facts(facts, now);
+    this->members->set_facts(std::move(facts), now);
+}
+
+void membership_controller::receive(std::string_view bytes)
+{
+    const std::scoped_lock lock{this->mutex};
+    const time_point now = boot_clock::now();
+    this->state_facts(now);
+    const membership_news news = this->members->on_datagram(bytes, now, this->random);
+    this->send(news.datagrams);
+    if (news.accepted) {
+        this->hooks.on_news(news, now);
+        this->publish_if_changed();
+    }
+}
+
+duration membership_controller::tick()
+{
+    constexpr std::chrono::milliseconds longest_pause{100};
+    const std::scoped_lock lock{this->mutex};
+    const time_point now = boot_clock::now();
+    if (this->members->next_tick() <= now) {
+        this->state_facts(now);
+        const membership_tick result = this->members->tick(now, this->random);
+        this->send(result.datagrams);
+        for (const state_change& change : result.changes) {
+            log_line{"peer_state"}
+                .add("peer", change.peer.node.value)
+                .add("from", to_code(change.from))
+                .add("to", to_code(change.to));
+        }
+    }
+    this->publish_if_changed();
+    return std::clamp<duration>(this->members->next_tick() - boot_clock::now(),
+                                std::chrono::milliseconds{1}, longest_pause);
+}
+
+void membership_controller::send(const std::vector<datagram>& datagrams)
+{
+    for (const datagram& message : datagrams) {
+        this->socket->send(message.address, message.bytes);
+    }
+}
+
+void membership_controller::publish_if_changed()
+{
+    const std::uint64_t version = this->members->announcements().version();
+    if (std::exchange(this->published, version) != version) {
+        this->hooks.on_upstreams(this->collect());
+    }
+}
+
+std::vector<announced_upstream> membership_controller::collect() const
+{
+    std::vector<announced_upstream> list;
+    for (const upstream_record& record : this->members->announcements().in_rotation()) {
+        list.push_back({record.upstream, record.service, record.slots,
+                        record.state == announced_state::draining});
+    }
+    return list;
+}
+
+void membership_controller::announce(const announced_upstream& upstream, time_point now)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->members->announce(to_offer(upstream), now);
+    this->publish_if_changed();
+}
+
+void membership_controller::withdraw(const upstream_id& upstream, time_point now)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->members->withdraw(upstream, now);
+    this->publish_if_changed();
+}
+
+void membership_controller::leave(time_point now)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->members->leave(now);
+}
+
+void membership_controller::stop()
+{
+    if (this->ticker != nullptr) {
+        this->ticker->stop();
+    }
+    this->socket.reset();
+}
+
+std::vector<announced_upstream> membership_controller::upstreams() const
+{
+    const std::scoped_lock lock{this->mutex};
+    return this->collect();
+}
+
+std::vector<rights_peer> membership_controller::peers() const
+{
+    const std::scoped_lock lock{this->mutex};
+    std::vector<rights_peer> list;
+    for (const auto& [node, peer] : this->members->peers().peers()) {
+        const time_point direct = peer.received.value_or(time_point{});
+        const time_point relayed = peer.indirect.value_or(time_point{});
+        list.push_back(
+            {{node, peer.card.run}, std::max(direct, relayed), peer.state == peer_state::alive});
+    }
+    return list;
+}
+
+std::optional<std::string> membership_controller::rpc_address(const seat_key& key) const
+{
+    const std::scoped_lock lock{this->mutex};
+    const peer_entry* const peer = this->members->peers().find(key.node);
+    return peer == nullptr || peer->card.run != key.run ? std::nullopt
+                                                        : std::optional{peer->card.rpc_address};
+}
+
+} // namespace dragonflyroad
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -6,10 +6,10 @@
 #include "adapters/metrics.hpp"
 #include "core/failure.hpp"
 #include "node/admin_port.hpp"
-#include "node/announcements.hpp"
 #include "node/blackboard.hpp"
 #include "node/config_controller.hpp"
 #include "node/explain_log.hpp"
+#include "node/membership_controller.hpp"
 #include "node/periodic_task.hpp"
 #include "node/pipeline.hpp"
 #include "node/retry_gates.hpp"
@@ -29,7 +29,6 @@
 namespace {
 
 constexpr std::size_t explained_requests = 4'096;
-constexpr std::chrono::milliseconds announcement_tick{100};
 constexpr std::chrono::milliseconds routing_tick{50};
 
 template<typename Gate, typename Default>
@@ -47,16 +46,18 @@
           std::shared_ptr<store> given_store, const std::string& prefix, incarnation run)
         : settings(given),
           upstreams(std::make_shared<routed_upstreams>(given.id, run)),
-          announcements([this](const auto& list) { this->upstreams->set_upstreams(list); }),
+          members(this->make_hooks(), run),
           requests({this->board, this->complete(std::move(given_gates)), std::move(given_carrier),
                     this->counters, this->explanations, prefix}),
-          admin({this->announcements, this->counters, this->explanations,
+          admin({this->members, this->counters, this->explanations,
                  [this] { return this->status(); }}),
           config(std::move(given_store), this->board)
     {
     }
 
     gates complete(gates decisions);
+    membership_hooks make_hooks();
+    bool join_fleet(incarnation run);
     std::string status();
     bool listen(const std::chrono::milliseconds& request_timeout);
     void start_controllers();
@@ -70,14 +71,14 @@
     explain_log explanations{explained_requests};
     std::shared_ptr<shared_crash_log> crashes = std::make_shared<shared_crash_log>();
     std::shared_ptr<routed_upstreams> upstreams;
-    local_announcements announcements;
+    membership_controller members;
     pipeline requests;
     admin_port admin;
     config_controller config;
     std::unique_ptr<http_server> caller_server;
     std::unique_ptr<http_server> admin_server;
+    std::unique_ptr<http_server> peer_server;
     std::unique_ptr<periodic_task> config_task;
-    std::unique_ptr<periodic_task> announcement_task;
     std::unique_ptr<periodic_task> routing_task;
     std::mutex mutex;
     std::condition_variable idle;
@@ -97,6 +98,36 @@
     return decisions;
 }
 
+membership_hooks node::parts::make_hooks()
+{
+    membership_hooks hooks;
+    hooks.fill_facts = [this](local_facts& facts, time_point) {
+        facts.revision = this->board.config.read()->revision;
+    };
+    hooks.on_news = [this](const membership_news& news, time_point now) {
+        std::vector<crash_record> records;
+        for (const crash_report& report : news.crashes) {
+            records.push_back({report.fingerprint, report.upstream, now - report.age});
+        }
+        this->crashes->merge(records, now);
+    };
+    hooks.on_upstreams = [this](const auto& list) { this->upstreams->set_upstreams(list); };
+    return hooks;
+}
+
+bool node::parts::join_fleet(incarnation run)
+{
+    peer_card card;
+    card.node = this->settings.id;
+    card.run = run;
+    card.version = 1;
+    card.centre = this->settings.centre;
+    card.rpc_address = this->peer_server->address();
+    card.datagram_address = card.rpc_address;
+    card.admin_address = this->admin_server->address();
+    return this->members.start(card, this->settings.seeds, this->settings.secret);
+}
+
 std::string node::parts::status()
 {
     nlohmann::ordered_json body;
@@ -104,7 +135,7 @@
     body["data_centre"] = this->settings.centre.value;
     body["revision"] = this->board.config.read()->revision;
     body["upstreams"] = nlohmann::ordered_json::array();
-    for (const announced_upstream& upstream : this->announcements.list()) {
+    for (const announced_upstream& upstream : this->members.upstreams()) {
         body["upstreams"].push_back({{"address", upstream.id.value},
                                      {"service", upstream.service.value},
                                      {"slots", upstream.slots},
@@ -125,6 +156,12 @@
     if (this->admin_server == nullptr) {
         return false;
     }
+    options.address = this->settings.peer_address;
+    this->peer_server =
+        http_server::start(options, [](http_exchange& exchange) { exchange.send(404, {}, ""); });
+    if (this->peer_server == nullptr) {
+        return false;
+    }
     options.address = this->settings.caller_address;
     options.threads = static_cast<int>(this->settings.worker_threads);
     this->caller_server =
@@ -135,10 +172,6 @@
 void node::parts::start_controllers()
 {
     this->config_task = std::make_unique<periodic_task>([this] { return this->config.follow(); });
-    this->announcement_task = std::make_unique<periodic_task>([this] {
-        this->announcements.expire(boot_clock::now());
-        return duration{announcement_tick};
-    });
     this->routing_task = std::make_unique<periodic_task>([this] {
         this->evaluate_upstreams();
         return duration{routing_tick};
@@ -201,6 +234,11 @@
     return this->impl->admin_server->address();
 }
 
+const std::string& node::peer_address() const
+{
+    return this->impl->peer_server->address();
+}
+
 bool node::wait_for_revision(revision_number revision, time_point deadline) const
 {
     return this->impl->config.wait_for_revision(revision, deadline);
@@ -217,6 +255,7 @@
     }
     log_line{"node_leaving"}.add("node", own.settings.id.value);
     own.board.phase = node_phase::leaving;
+    own.members.leave(boot_clock::now());
     own.caller_server->close_after_answers();
     {
         // Clients learn from "Connection: close" that they have to move to another node.
@@ -227,8 +266,9 @@
     own.wait_until_idle();
     own.caller_server->stop();
     own.config_task->stop();
-    own.announcement_task->stop();
     own.routing_task->stop();
+    own.members.stop();
+    own.peer_server->stop();
     own.admin_server->stop();
     log_line{"node_stopped"}.add("node", own.settings.id.value);
 }
@@ -276,7 +316,8 @@
 {
     if (this->run == std::nullopt) {
         std::random_device entropy;
-        this->run = (static_cast<incarnation>(entropy()) << 32U) | entropy();
+        random_engine random{(static_cast<std::uint64_t>(entropy()) << 32U) | entropy()};
+        this->run = make_incarnation(std::chrono::system_clock::now(), random);
     }
     if (this->carrier == nullptr) {
         this->carrier = std::make_shared<http_client>();
@@ -285,13 +326,14 @@
     auto assembled = std::make_unique<node::parts>(this->settings, this->decisions, this->carrier,
                                                    this->store_client, prefix, *this->run);
     assembled->leave_time = this->leave_time;
-    if (!assembled->listen(this->request_timeout)) {
+    if (!assembled->listen(this->request_timeout) || !assembled->join_fleet(*this->run)) {
         return nullptr;
     }
     assembled->board.phase = node_phase::serving;
     log_line{"node_started"}
         .add("node", this->settings.id.value)
         .add("caller_address", assembled->caller_server->address())
+        .add("peer_address", assembled->peer_server->address())
         .add("admin_address", assembled->admin_server->address());
     assembled->start_controllers();
     return std::unique_ptr<node>{new node{std::move(assembled)}};
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -25,6 +25,7 @@
     /// The addresses that were bound.
     const std::string& caller_address() const;
     const std::string& admin_address() const;
+    const std::string& peer_address() const;
 
     /// Waits until a configuration of at least that revision is in force; false at the deadline.
     bool wait_for_revision(revision_number revision, time_point deadline) const;
--- a/test/golden/test_sessions.cpp
+++ b/test/golden/test_sessions.cpp
@@ -55,7 +55,8 @@
         const std::vector<std::pair<std::string, std::string>> names{
             {this->upstream.address(), "UPSTREAM"},
             {this->fleet.caller(), "CALLER"},
-            {this->fleet.admin(), "ADMIN"}};
+            {this->fleet.admin(), "ADMIN"},
+            {this->fleet.running->peer_address(), "PEER"}};
         for (const auto& [value, name] : names) {
             text = std::regex_replace(text, std::regex{value}, name);
         }
