--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -42,7 +42,7 @@
     if (cancel.is_cancelled()) {
         connection->interrupt();
     }
-    const exchange_result result = connection->exchange(request, receiver);
+    exchange_result result = connection->exchange(request, receiver);
     cancel.set_interrupt({});
     if (connection->is_reusable() && !cancel.is_cancelled()) {
         this->keep(upstream, std::move(connection));
@@ -97,6 +97,16 @@
     }
 }
 
+bool http_client::can_connect(const upstream_id& upstream, std::chrono::milliseconds timeout)
+{
+    const auto port = port_of(upstream.value);
+    if (!port) {
+        return false;
+    }
+    upstream_connection connection{upstream.value.substr(0, upstream.value.rfind(':')), *port};
+    return connection.connect(timeout);
+}
+
 void http_client::close_idle(const upstream_id& upstream)
 {
     const std::scoped_lock lock{this->mutex};
--- a/src/adapters/upstream_connection.hpp
+++ b/src/adapters/upstream_connection.hpp
@@ -12,10 +12,10 @@
 
 namespace dragonflyroad {
 
-/// One connection to an upstream, for one exchange at a time. The HTTP library connects and writes
-/// the request; the socket's bytes pass through a stream of our own, because the library (0.11.4)
-/// percent-decodes the header values of an answer, accepts some truncated chunked bodies as whole,
-/// and does not tell whether anything was written.
+/// One connection to an upstream, for one exchange at a time. The HTTP library connects and drives
+/// the exchange; the socket's bytes pass through a stream of our own, because the library (0.11.4)
+/// adds headers to the request, percent-decodes the header values of an answer, accepts some
+/// truncated chunked bodies as whole, and does not tell whether anything was written.
 class upstream_connection : private httplib::ClientImpl {
 public:
     upstream_connection(const std::string& host, int port);
@@ -27,6 +27,9 @@
 
     exchange_result exchange(const outbound_request& request, answer_receiver& receiver);
 
+    /// Connects, if it is not connected yet, and sends nothing.
+    bool connect(std::chrono::milliseconds timeout);
+
     /// Ends the running exchange, from another thread. Does not block.
     void interrupt();
 
