Keep verification from overloading the upstream it verifies

Three verification requests of each of six nodes filled the queue of a sound upstream with three slots and made it look bad. Verifications are now bounded, settled by an ordinary response, and evidence must span the time in which a few long requests explain it.

--- /dev/null
+++ b/bench/model/false_ejections.cpp
@@ -0,0 +1,122 @@
+#include "bench/model/false_ejections.hpp"
+
+#include <set>
+#include <utility>
+
+namespace dragonflyroad::bench {
+namespace {
+
+using namespace std::chrono_literals;
+using kind = timed_event::kind;
+
+timed_event make_event(duration after, kind what, std::size_t upstream = 0, std::size_t node = 0,
+                       double value = 1)
+{
+    return {fleet_model::start() + after, what, upstream, node, value, upstream_fault::none};
+}
+
+void add_noise(scenario& plan)
+{
+    plan.times.sigma = 0.9;
+    plan.times.heavy_share = 0.02;
+    plan.times.heavy_factor = 20;
+}
+
+} // namespace
+
+std::string_view to_name(harmless situation)
+{
+    constexpr std::string_view names[] = {"noise",
+                                          "burst",
+                                          "cold_start",
+                                          "misreporting",
+                                          "one_way_partition",
+                                          "slow_service",
+                                          "silent_connections",
+                                          "rumour"};
+    return names[static_cast<std::size_t>(situation)];
+}
+
+scenario harmless_scenario(harmless situation, const service_shape& shape, std::uint64_t seed,
+                           bool is_baseline)
+{
+    scenario plan;
+    plan.shape = shape;
+    plan.seed = seed;
+    plan.is_baseline = is_baseline;
+    plan.length = 20s;
+    random_engine random(seed * 31 + static_cast<std::uint64_t>(situation));
+    const std::size_t first = uniform_index(random, shape.upstreams);
+    const std::size_t second = (first + 1) % shape.upstreams;
+    const std::size_t node = uniform_index(random, plan.nodes);
+    std::vector<timed_event>& events = plan.schedule;
+    switch (situation) {
+    case harmless::noise:
+        add_noise(plan);
+        break;
+    case harmless::burst:
+        events.push_back(make_event(6s, kind::load, 0, 0, 4));
+        events.push_back(make_event(8s, kind::load, 0, 0, 1));
+        events.push_back(make_event(13s, kind::load, 0, 0, 8));
+        events.push_back(make_event(13500ms, kind::load, 0, 0, 1));
+        break;
+    case harmless::cold_start:
+        events.push_back(make_event(6s, kind::restart, first));
+        events.push_back(make_event(7s, kind::restart, second));
+        events.push_back(make_event(8s, kind::join, (first + 2) % shape.upstreams));
+        break;
+    case harmless::one_way_partition:
+        events.push_back(make_event(6s, kind::deaf, first, node));
+        events.push_back(make_event(9s, kind::mute, second, (node + 1) % plan.nodes));
+        break;
+    case harmless::slow_service:
+        events.push_back(make_event(6s, kind::slowdown, 0, 0, 10));
+        events.push_back(make_event(10s, kind::slowdown, 0, 0, 3));
+        events.push_back(make_event(15s, kind::slowdown, 0, 0, 1));
+        break;
+    case harmless::silent_connections:
+        events.push_back(make_event(6s, kind::silence, first));
+        break;
+    case harmless::rumour:
+        add_noise(plan);
+        events.push_back(make_event(6s, kind::rumour, first, node));
+        break;
+    case harmless::misreporting:
+    case harmless::count:
+        break;
+    }
+    return plan;
+}
+
+ejection_counts count_ejections(const scenario& plan)
+{
+    ejection_counts counts;
+    fleet_model model(plan);
+    std::set<std::pair<std::size_t, std::size_t>> false_now;
+    std::set<std::pair<std::size_t, std::size_t>> path_now;
+    std::set<std::pair<std::size_t, std::size_t>> reduced_now;
+    model.run([&](const fleet_model& fleet, std::size_t node, time_point now) {
+        static_cast<void>(now);
+        for (std::size_t upstream = 0; upstream < fleet.upstream_count(); ++upstream) {
+            const std::pair pair{node, upstream};
+            const ejection_step step = fleet.node(node).step(upstream);
+            const bool is_out = step == ejection_step::ejected && !fleet.was_faulty(upstream);
+            const bool is_path = is_out && fleet.is_cut(node, upstream) &&
+                                 fleet.node(node).scope(upstream) != fault_scope::upstream;
+            counts.false_ejections += is_out && !is_path && false_now.insert(pair).second ? 1 : 0;
+            counts.path_ejections += is_path && path_now.insert(pair).second ? 1 : 0;
+            counts.reductions +=
+                step == ejection_step::reduced && reduced_now.insert(pair).second ? 1 : 0;
+            if (!is_out) {
+                false_now.erase(pair);
+                path_now.erase(pair);
+            }
+            if (step != ejection_step::reduced) {
+                reduced_now.erase(pair);
+            }
+        }
+    });
+    return counts;
+}
+
+} // namespace dragonflyroad::bench
--- a/src/routing/ejection.cpp
+++ b/src/routing/ejection.cpp
@@ -22,15 +22,21 @@
 constexpr duration evidence_lifetime = 2s;
 // When no peer has anything to say for this long, none of them uses the upstream.
 constexpr duration peer_silence = 2s;
+// Suspicion from which further requests are sent to verify it: one bad request of a service that is
+// rarely bad. Three at once suffice to reach the ejection limit.
+constexpr double suspicion_to_verify = 2.5;
+// Upstreams that queued much recover later than the others.
+constexpr duration slow_service_hold = 2s;
 constexpr double slow_service_share = 1.0 / 3;
 constexpr double sound_peers_share = 2.0 / 3;
 constexpr double suspicion_worth_telling = 4;
 // Own suspicion that, with two peers' agreement, suffices to act.
 constexpr double suspicion_with_peers = 8;
-// Suspicion from which further requests are sent to verify it: one bad request of a service that is
-// rarely bad. Three at once suffice to reach the ejection limit.
-constexpr double suspicion_to_verify = 2.5;
-constexpr std::int32_t verifications_at_once = 3;
+// Verifications on their way at once, and overdue ones included. Each node sends its own: more
+// would fill the queue of a sound upstream with three slots and make it look bad.
+constexpr std::uint32_t verifications_at_once = 2;
+constexpr std::uint32_t verifications_allowed = 3;
+constexpr duration verification_pause = 500ms;
 constexpr std::size_t largest_evidence_list = 16;
 constexpr double default_floor = 0.5;
 
@@ -41,7 +47,7 @@
 
 bool looks_bad(const upstream_assessment& seen)
 {
-    return seen.suspicion >= suspicion_to_reduce ||
+    return seen.suspicion >= suspicion_to_verify ||
            seen.upstream->step.load() == ejection_step::ejected ||
            seen.upstream->step.load() == ejection_step::probation;
 }
@@ -169,7 +175,9 @@
     ++known.ejections;
     known.last_ejection = length;
     known.until = current.now + length;
-    known.scope = fault_scope::none;
+    if (known.step != ejection_step::probation) {
+        known.scope = fault_scope::none;
+    }
     this->move(current, seen, known, ejection_step::ejected);
     this->update_scope(seen, known, current.now);
     current.changes.back().scope = known.scope;
@@ -195,8 +203,8 @@
                                          record& known)
 {
     const peer_opinion opinion = ask_peers(known, seen.bad_since, current.now);
-    const bool is_proved_with_peers =
-        seen.suspicion >= suspicion_with_peers && opinion.bad >= 2 && opinion.bad > opinion.good;
+    const bool is_proved_with_peers = seen.fresh_suspicion >= suspicion_with_peers &&
+                                      opinion.bad >= 2 && opinion.bad > opinion.good;
     if ((seen.suspicion >= suspicion_to_eject || is_proved_with_peers) && seen.is_conclusive) {
         if (this->may_eject(current, seen)) {
             this->eject(current, seen, known);
@@ -237,16 +245,24 @@
 {
     const bool is_rotating =
         known.step == ejection_step::healthy || known.step == ejection_step::reduced;
-    const bool is_wanted = is_rotating && (seen.suspicion >= suspicion_to_verify ||
-                                           known.step == ejection_step::reduced ||
-                                           ask_peers(known, now - evidence_lifetime, now).bad > 0);
-    seen.upstream->verify_fresh.store(is_wanted);
+    // An ordinary response settles the suspicion unless a fresh connection hangs as well.
+    const bool is_answered = seen.overdue_fresh == 0 &&
+                             now - known.last_good < verification_pause &&
+                             seen.upstream->statistics.last_good_start() > seen.bad_since;
+    const bool is_wanted =
+        is_rotating && !is_answered &&
+        (seen.suspicion >= suspicion_to_verify || known.step == ejection_step::reduced ||
+         ask_peers(known, now - evidence_lifetime, now).bad > 0);
+    seen.upstream->verify_fresh.store(is_wanted || known.step == ejection_step::probation);
     // All three may come from one organisation; two more are then likely to come from another.
-    const std::int32_t wanted = seen.suspicion >= suspicion_to_eject && !seen.is_conclusive
-                                    ? verifications_at_once + 2
-                                    : verifications_at_once;
-    seen.upstream->verifications.store(
-        is_wanted ? wanted - static_cast<std::int32_t>(seen.verifying) : 0);
+    const std::uint32_t allowed = seen.suspicion >= suspicion_to_eject && !seen.is_conclusive
+                                      ? verifications_allowed + 2
+                                      : verifications_allowed;
+    const std::uint32_t sent = seen.verifying + seen.overdue_fresh;
+    const std::uint32_t wanted =
+        std::min(verifications_at_once - std::min(verifications_at_once, seen.verifying),
+                 allowed - std::min(allowed, sent));
+    seen.upstream->verifications.store(is_wanted ? static_cast<std::int32_t>(wanted) : 0);
 }
 
 // Takes turns between the upstreams that wait for a request.
@@ -267,7 +283,11 @@
 void ejection_controller::step_one(round& current, const upstream_assessment& seen, record& known)
 {
     known.suspicion = seen.suspicion;
+    known.fresh_suspicion = seen.fresh_suspicion;
     known.recent_good = seen.recent_good;
+    if (seen.good > 0) {
+        known.last_good = current.now;
+    }
     if (seen.good + seen.bad + seen.overdue > 0) {
         known.observed_at = current.now;
     }
@@ -336,7 +356,10 @@
 
 void ejection_controller::tick_service(round& current)
 {
-    current.state.is_slow = this->is_service_slow(current);
+    if (this->is_service_slow(current)) {
+        current.state.slow_until = current.now + slow_service_hold;
+    }
+    current.state.is_slow = current.now < current.state.slow_until;
     // The most suspected first, so that the floor leaves out the least suspected.
     std::sort(current.assessments.begin(), current.assessments.end(),
               [](const auto& left, const auto& right) { return left.suspicion > right.suspicion; });
@@ -420,11 +443,14 @@
             const bool is_asked =
                 std::any_of(known.peers.begin(), known.peers.end(), [&](const auto& entry) {
                     return now - entry.second.as_of <= evidence_lifetime &&
-                           entry.second.suspicion >= suspicion_worth_telling;
+                           (entry.second.suspicion >= suspicion_worth_telling ||
+                            entry.second.step != ejection_step::healthy);
                 });
             const bool is_fresh = now - known.observed_at <= evidence_lifetime;
-            if (is_fresh && (known.suspicion >= suspicion_worth_telling || is_asked)) {
-                list.push_back({this->self, service, upstream, known.suspicion,
+            if (is_fresh &&
+                (known.fresh_suspicion >= suspicion_worth_telling || is_asked ||
+                 known.step == ejection_step::ejected || known.step == ejection_step::probation)) {
+                list.push_back({this->self, service, upstream, known.fresh_suspicion,
                                 static_cast<std::uint32_t>(known.recent_good), known.step,
                                 known.observed_at});
             }
--- a/src/routing/ejection.hpp
+++ b/src/routing/ejection.hpp
@@ -92,9 +92,11 @@
         time_point step_since;
         time_point calm_since;
         time_point observed_at;
+        time_point last_good;
         std::uint32_t probes_good = 0;
         std::uint32_t probes_bad = 0;
         double recent_good = 0;
+        double fresh_suspicion = 0;
         std::map<node_id, ejection_evidence> peers;
     };
 
@@ -102,6 +104,7 @@
         outlier_detector detector;
         std::map<upstream_id, record> records;
         bool is_slow = false;
+        time_point slow_until;
         std::uint32_t preferred = 0;
     };
 
--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -101,7 +101,10 @@
     if (this->reference.total() >= samples_needed) {
         const duration median = this->reference.quantile(0.5);
         stick.slow_above = std::max(
-            least_slow, std::clamp(2 * this->reference.quantile(0.95), 3 * median, 6 * median));
+            least_slow, std::clamp(2 * this->reference.quantile(0.95), 3 * median, 8 * median));
+        // A few long requests that occupy all slots make those behind them slow as well; such an
+        // episode ends when they do.
+        stick.least_span = std::max(stick.slow_above, 2 * this->reference.quantile(0.99));
         view.reference->median_ns.store(median.count());
         view.reference->slow_above_ns.store(stick.slow_above.count());
     }
@@ -161,7 +164,7 @@
     for (const waiting_request& request : this->waiting) {
         const duration age = now - request.began;
         const bool is_evidence = request.began >= upstream.evidence_from();
-        found.verifying += is_evidence && !request.mark.reused_connection ? 1 : 0;
+        found.verifying += is_evidence && age <= limit && !request.mark.reused_connection ? 1 : 0;
         if (age <= limit || !is_evidence ||
             std::find(found.fingerprints.begin(), found.fingerprints.end(),
                       request.mark.fingerprint) != found.fingerprints.end()) {
@@ -172,8 +175,10 @@
                                       stick.bad_share > 0.5 ? stick.bad_share : 0.0});
         (request.mark.reused_connection ? found.pooled : found.fresh) += -std::log(tail);
         found.fingerprints.push_back(request.mark.fingerprint);
+        found.overdue_fresh += request.mark.reused_connection ? 0 : 1;
         found.organisations |= to_bit(request.mark.organisation);
         found.earliest = std::min(found.earliest, request.began);
+        found.latest = std::max(found.latest, request.began);
     }
     return found;
 }
@@ -195,12 +200,21 @@
     const double pooled =
         std::min(known.pooled_suspicion + overdue.pooled, largest_pooled_suspicion);
     result.suspicion = std::min(known.suspicion + overdue.fresh + pooled, largest_suspicion);
+    result.fresh_suspicion = std::min(known.suspicion + overdue.fresh, largest_suspicion);
     result.good = counts.fast;
     result.bad = bad;
     result.overdue = static_cast<std::uint32_t>(overdue.fingerprints.size());
     result.recent_good = known.recent_good;
     result.has_shed = counts.shed != 0;
 
+    if (result.suspicion < 1) {
+        known.is_suspected = false;
+    }
+    else if (!known.is_suspected) {
+        known.is_suspected = true;
+        // A request that has completed began at most a tick and a slow latency ago.
+        known.bad_since = std::min(overdue.earliest, now);
+    }
     std::uint64_t fingerprints = known.bad_fingerprints[0] | known.bad_fingerprints[1];
     for (const std::uint64_t fingerprint : overdue.fingerprints) {
         fingerprints |= to_bit(fingerprint);
@@ -211,19 +225,16 @@
         known.bad_organisations[0] | known.bad_organisations[1] | overdue.organisations;
     const std::uint64_t all = known.all_organisations[0] | known.all_organisations[1];
     const bool has_several = std::popcount(all | organisations) > 1;
-    result.is_conclusive = distinct >= least_requests &&
-                           (std::popcount(organisations) >= 2 || !has_several) &&
-                           known.suspicion + overdue.fresh > 0;
-    if (result.suspicion < 1) {
-        known.is_suspected = false;
-    }
-    else if (!known.is_suspected) {
-        known.is_suspected = true;
-        // A request that has completed began at most a tick and a slow latency ago.
-        known.bad_since = std::min(overdue.earliest, now);
+    if (bad > 0) {
+        known.last_bad = std::max(known.last_bad, now - stick.slow_above);
     }
+    known.last_bad = std::max(known.last_bad, overdue.latest);
+    result.is_conclusive =
+        distinct >= least_requests && (std::popcount(organisations) >= 2 || !has_several) &&
+        result.fresh_suspicion > 0 && known.last_bad - known.bad_since >= stick.least_span;
     result.bad_since = known.is_suspected ? known.bad_since : now;
     result.verifying = overdue.verifying;
+    result.overdue_fresh = overdue.overdue_fresh;
     if (counts.fast + counts.slow == 0) {
         upstream->statistics.relax_smoothed_latency(upstream->reference->median());
     }
--- a/src/routing/outlier_detector.hpp
+++ b/src/routing/outlier_detector.hpp
@@ -23,6 +23,8 @@
     /// Evidence that the upstream is bad, 0 to 30. At `suspicion_to_reduce` and
     /// `suspicion_to_eject` the controller acts.
     double suspicion = 0;
+    /// The part of it that does not rest on pooled connections.
+    double fresh_suspicion = 0;
     /// Whether the evidence is enough by its kind: several requests, several organisations where
     /// there are several, and not only pooled connections.
     bool is_conclusive = false;
@@ -31,8 +33,10 @@
     std::uint32_t bad = 0;
     /// Requests in flight for longer than an ordinary latency.
     std::uint32_t overdue = 0;
-    /// Requests in flight on fresh connections, overdue or not.
+    /// Requests in flight on fresh connections that are not overdue yet.
     std::uint32_t verifying = 0;
+    /// Those of `overdue` that are on fresh connections.
+    std::uint32_t overdue_fresh = 0;
     /// Responses of ordinary latency within about the last 2 s.
     double recent_good = 0;
     /// Start of the earliest request that counts against the upstream.
@@ -74,12 +78,15 @@
         std::uint64_t all_organisations[2] = {0, 0};
         time_point generation;
         time_point bad_since;
+        time_point last_bad;
         bool is_suspected = false;
     };
 
     /// What counts as bad at this moment, and how often sound upstreams are bad.
     struct yardstick {
         duration slow_above;
+        /// How far the first and the last bad request must lie apart to be conclusive.
+        duration least_span;
         double bad_share = 0;
         bool is_service_slow = false;
     };
@@ -89,9 +96,11 @@
         double pooled = 0;
         std::vector<std::uint64_t> fingerprints;
         std::uint64_t organisations = 0;
-        /// Requests on fresh connections, overdue or not.
+        /// Requests on fresh connections that are not overdue yet.
         std::uint32_t verifying = 0;
+        std::uint32_t overdue_fresh = 0;
         time_point earliest;
+        time_point latest;
     };
 
     yardstick make_yardstick(const service_view& view, bool is_service_slow, time_point now);
