--- /dev/null
+++ b/bench/duplicate_runs.cpp
@@ -0,0 +1,71 @@
+// Non-repeatable requests that ran twice, and refusals that say "not run" of a request that ran,
+// while upstreams crash, stall, flap and become unreachable.
+
+#include "bench/model/fleet_model.hpp"
+#include "bench/model/seeds.hpp"
+
+namespace dragonflyroad::bench {
+namespace {
+
+using namespace std::chrono_literals;
+using kind = timed_event::kind;
+
+scenario make_scenario(const service_shape& shape, std::uint64_t seed, bool is_baseline)
+{
+    scenario plan;
+    plan.shape = shape;
+    plan.seed = seed;
+    plan.is_baseline = is_baseline;
+    plan.repeatable_share = 0.4;
+    random_engine random(seed);
+    const auto any_upstream = [&] { return uniform_index(random, shape.upstreams); };
+    const auto any_node = [&] { return uniform_index(random, plan.nodes); };
+    const auto at = [&] {
+        return fleet_model::start() + 4s +
+               duration{static_cast<std::int64_t>(uniform(random) * 4e9)};
+    };
+    plan.schedule = {
+        {at(), kind::fault, any_upstream(), 0, 1, upstream_fault::stall},
+        {at(), kind::fault, any_upstream(), 0, 1, upstream_fault::flap},
+        {at(), kind::deaf, any_upstream(), any_node(), 1, upstream_fault::none},
+        {at(), kind::mute, any_upstream(), any_node(), 1, upstream_fault::none},
+        {at(), kind::silence, any_upstream(), 0, 1, upstream_fault::none},
+        {at(), kind::load, 0, 0, 2.5, upstream_fault::none},
+        {at(), kind::crashing_request, 0, 0, 1, upstream_fault::none},
+    };
+    return plan;
+}
+
+std::vector<record> measure(std::uint64_t first_seed, bool is_baseline)
+{
+    std::vector<record> records;
+    const std::string name = is_baseline ? "baseline_duplicate_runs" : "duplicate_runs";
+    const bound_kind bound = is_baseline ? bound_kind::none : bound_kind::at_most;
+    for (const std::string& deployment : deployment_names()) {
+        const auto shapes = service_shapes(deployment);
+        worst_of duplicates({name, deployment, "duplicate_runs", 0, "requests", 0, bound, 0}, true);
+        worst_of untrue({name, deployment, "untrue_refusals", 0, "requests", 0, bound, 0}, true);
+        worst_of crashes(
+            {name, deployment, "crashes_of_one_request", 0, "crashes", 0, bound_kind::none, 0},
+            true);
+        for (std::uint64_t seed = first_seed; seed < first_seed + seed_count; ++seed) {
+            fleet_model model(make_scenario(shapes[seed % shapes.size()], seed, is_baseline));
+            const run_counts counts = model.run([](const fleet_model&, std::size_t, time_point) {});
+            duplicates.add(static_cast<double>(counts.duplicate_runs), seed);
+            untrue.add(static_cast<double>(counts.untrue_refusals), seed);
+            crashes.add(static_cast<double>(counts.crashes), seed);
+        }
+        records.insert(records.end(), {duplicates.get(), untrue.get(), crashes.get()});
+    }
+    return records;
+}
+
+const registration own{{"duplicate_runs", false, [](std::uint64_t seed) {
+                            auto records = measure(seed, false);
+                            const auto baseline = measure(seed, true);
+                            records.insert(records.end(), baseline.begin(), baseline.end());
+                            return records;
+                        }}};
+
+} // namespace
+} // namespace dragonflyroad::bench
--- /dev/null
+++ b/bench/healthy_capacity_floor.cpp
@@ -0,0 +1,97 @@
+// Healthy capacity in rotation relative to the floor, while several upstreams fail, drain, expire
+// and start cold at random times.
+
+#include "bench/model/fleet_model.hpp"
+#include "bench/model/seeds.hpp"
+
+#include <algorithm>
+
+namespace dragonflyroad::bench {
+namespace {
+
+using namespace std::chrono_literals;
+using kind = timed_event::kind;
+
+scenario make_scenario(const service_shape& shape, std::uint64_t seed, bool is_baseline)
+{
+    scenario plan;
+    plan.shape = shape;
+    plan.seed = seed;
+    plan.is_baseline = is_baseline;
+    plan.length = 25s;
+    random_engine random(seed);
+    constexpr upstream_fault faults[] = {upstream_fault::stall, upstream_fault::slow,
+                                         upstream_fault::slow_share, upstream_fault::flap,
+                                         upstream_fault::none};
+    for (int count = 0; count < 12; ++count) {
+        timed_event change;
+        change.at =
+            fleet_model::start() + 5s + duration{static_cast<std::int64_t>(uniform(random) * 15e9)};
+        change.upstream = uniform_index(random, shape.upstreams);
+        const double draw = uniform(random);
+        change.what = draw < 0.7 ? kind::fault : draw < 0.85 ? kind::restart : kind::expire;
+        change.fault = faults[uniform_index(random, std::size(faults))];
+        plan.schedule.push_back(change);
+    }
+    return plan;
+}
+
+double least_share(const scenario& plan)
+{
+    fleet_model model(plan);
+    double least = 1e9;
+    model.run([&](const fleet_model& fleet, std::size_t node, time_point now) {
+        static_cast<void>(now);
+        double announced = 0;
+        double healthy = 0;
+        double in_rotation = 0;
+        for (std::size_t upstream = 0; upstream < fleet.upstream_count(); ++upstream) {
+            if (!fleet.is_announced(upstream)) {
+                continue;
+            }
+            announced += 1;
+            if (!fleet.is_faulty(upstream)) {
+                const ejection_step step = fleet.node(node).step(upstream);
+                healthy += fleet.is_settled(upstream) ? 1 : 0;
+                in_rotation +=
+                    step == ejection_step::healthy || step == ejection_step::reduced ? 1 : 0;
+            }
+        }
+        // With less healthy capacity than the floor, all of it must be in rotation, but for what
+        // recovers from a fault and is still being tested.
+        const double wanted = std::min(plan.floor * announced, healthy);
+        if (wanted > 0) {
+            least = std::min(least, in_rotation / wanted);
+        }
+    });
+    return least;
+}
+
+std::vector<record> measure(std::uint64_t first_seed, bool is_baseline)
+{
+    std::vector<record> records;
+    const std::string name =
+        is_baseline ? "baseline_healthy_capacity_floor" : "healthy_capacity_floor";
+    const bound_kind bound = is_baseline ? bound_kind::none : bound_kind::at_least;
+    for (const std::string& deployment : deployment_names()) {
+        const auto shapes = service_shapes(deployment);
+        worst_of worst({name, deployment, "healthy_capacity_floor", 0, "ratio", 1, bound, 0},
+                       false);
+        for (std::uint64_t seed = first_seed; seed < first_seed + seed_count; ++seed) {
+            const auto& shape = shapes[seed % shapes.size()];
+            worst.add(least_share(make_scenario(shape, seed, is_baseline)), seed);
+        }
+        records.push_back(worst.get());
+    }
+    return records;
+}
+
+const registration own{{"healthy_capacity_floor", false, [](std::uint64_t seed) {
+                            auto records = measure(seed, false);
+                            const auto baseline = measure(seed, true);
+                            records.insert(records.end(), baseline.begin(), baseline.end());
+                            return records;
+                        }}};
+
+} // namespace
+} // namespace dragonflyroad::bench
--- a/bench/model/fleet_model.cpp
+++ b/bench/model/fleet_model.cpp
@@ -33,6 +33,7 @@
     this->incarnations.assign(count, 0);
     this->announced.assign(count, true);
     this->faulty_until.assign(count, time_point{});
+    this->sound_from.assign(count, time_point{});
     this->held.resize(count);
     this->at_upstream.resize(count);
     this->cuts.resize(this->plan.nodes * count);
--- a/bench/model/fleet_model.hpp
+++ b/bench/model/fleet_model.hpp
@@ -106,6 +106,13 @@
     {
         return this->is_faulty(upstream) || this->now < this->faulty_until[upstream];
     }
+    /// Whether the upstream has been sound for ten seconds: longer than the first ejections and
+    /// probations that a past fault justifies.
+    bool is_settled(std::size_t upstream) const
+    {
+        return !this->is_faulty(upstream) &&
+               this->now - this->sound_from[upstream] >= std::chrono::seconds{10};
+    }
     bool is_cut(std::size_t node, std::size_t upstream) const
     {
         return this->cuts[node * this->upstreams.size() + upstream].any();
@@ -199,6 +206,7 @@
     std::vector<std::uint32_t> incarnations;
     std::vector<bool> announced;
     std::vector<time_point> faulty_until;
+    std::vector<time_point> sound_from;
     std::vector<node_state> nodes;
     std::vector<cut> cuts;
     std::vector<model_request> requests;
--- a/bench/model/fleet_nodes.cpp
+++ b/bench/model/fleet_nodes.cpp
@@ -71,18 +71,19 @@
     attempt_state& attempt = this->attempts[number];
     attempt.is_finished = true;
     const std::uint32_t request_number = attempt.request;
-    const model_request& request = this->requests[request_number];
+    model_request& request = this->requests[request_number];
     node_state& node = this->nodes[request.node];
     node.decisions->finish(number, request, attempt.upstream, outcome, this->now);
     const failed_attempt failed{to_failure(outcome), outcome != outcome_kind::connect_failed,
                                 false};
+    request.has_run = to_ran(request.has_run, failed);
     if (node.decisions->retries(request, failed, this->now)) {
         if (!this->try_start(request_number)) {
             node.waiting.push_back(request_number);
         }
     }
     else {
-        this->refuse(request_number, to_ran(failed));
+        this->refuse(request_number, request.has_run);
     }
     this->start_waiting(node);
 }
@@ -179,6 +180,7 @@
     switch (change.what) {
     case kind::fault: {
         this->faulty_until[change.upstream] = this->now + 1s;
+        this->sound_from[change.upstream] = this->now;
         this->upstreams[change.upstream].set_fault(change.fault, this->now);
         for (const std::uint32_t attempt : std::exchange(this->held[change.upstream], {})) {
             this->push(this->now, step_kind::complete, attempt);
--- a/bench/model/router.hpp
+++ b/bench/model/router.hpp
@@ -24,6 +24,7 @@
     std::uint32_t attempts = 0;
     std::uint32_t runs = 0;
     bool is_trial = false;
+    ran has_run = ran::no;
     time_point arrived;
     std::vector<upstream_id> tried;
 };
--- a/src/retry/retry_policy.cpp
+++ b/src/retry/retry_policy.cpp
@@ -35,6 +35,15 @@
     return is_certain ? ran::no : ran::unknown;
 }
 
+ran to_ran(ran earlier, const failed_attempt& attempt)
+{
+    const ran latest = to_ran(attempt);
+    if (earlier == ran::yes || latest == ran::yes) {
+        return ran::yes;
+    }
+    return earlier == ran::unknown ? ran::unknown : latest;
+}
+
 std::optional<retry_reason> may_retry(const retry_limits& limits, std::uint32_t attempts_made,
                                       const failed_attempt& attempt, retry_budget& budget,
                                       time_point now)
--- a/src/retry/retry_policy.hpp
+++ b/src/retry/retry_policy.hpp
@@ -42,9 +42,13 @@
     time_point deadline;
 };
 
-/// What is known of the run of a request after `attempt`; decides the `ran` of a refusal.
+/// What is known of the run of a request on the upstream of `attempt`.
 ran to_ran(const failed_attempt& attempt);
 
+/// What is known after a further attempt; decides the `ran` of a refusal. An earlier attempt that
+/// may have run is not undone by a later one that did not.
+ran to_ran(ran earlier, const failed_attempt& attempt);
+
 /// Whether to try another upstream after `attempts_made` attempts, the last of which failed, and by
 /// which reason. A request that is not repeatable is sent again only when it is certain that the
 /// upstream did not run it. Takes a retry from `budget` when it returns a reason; otherwise
--- a/src/routing/ejection.cpp
+++ b/src/routing/ejection.cpp
@@ -27,6 +27,8 @@
 constexpr double suspicion_to_verify = 2.5;
 // Upstreams that queued much recover later than the others.
 constexpr duration slow_service_hold = 2s;
+// More than one bad request of a service that is rarely bad.
+constexpr double suspicion_of_slow_service = 4.5;
 constexpr double slow_service_share = 1.0 / 3;
 constexpr double sound_peers_share = 2.0 / 3;
 constexpr double suspicion_worth_telling = 4;
@@ -47,7 +49,7 @@
 
 bool looks_bad(const upstream_assessment& seen)
 {
-    return seen.suspicion >= suspicion_to_verify ||
+    return seen.suspicion >= suspicion_of_slow_service ||
            seen.upstream->step.load() == ejection_step::ejected ||
            seen.upstream->step.load() == ejection_step::probation;
 }
@@ -332,10 +334,10 @@
         }
         announced += seen.upstream->slots.load();
         const ejection_step step = seen.upstream->step.load();
-        if (step == ejection_step::healthy || step == ejection_step::reduced) {
+        if (step == ejection_step::healthy) {
             in_rotation += seen.upstream->slots.load();
         }
-        else {
+        else if (step != ejection_step::reduced) {
             ejected.push_back(&seen);
         }
     }
--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -104,7 +104,13 @@
             least_slow, std::clamp(2 * this->reference.quantile(0.95), 3 * median, 8 * median));
         // A few long requests that occupy all slots make those behind them slow as well; such an
         // episode ends when they do.
-        stick.least_span = std::max(stick.slow_above, 2 * this->reference.quantile(0.99));
+        const duration p95 = this->reference.quantile(0.95);
+        const duration p99 = this->reference.quantile(0.99);
+        const double tail = static_cast<double>(p99.count()) /
+                            static_cast<double>(std::max<std::int64_t>(p95.count(), 1));
+        stick.least_span =
+            std::max(stick.slow_above,
+                     duration{static_cast<std::int64_t>(static_cast<double>(p99.count()) * tail)});
         view.reference->median_ns.store(median.count());
         view.reference->slow_above_ns.store(stick.slow_above.count());
     }
