--- a/src/limits/account.cpp
+++ b/src/limits/account.cpp
@@ -16,7 +16,7 @@
 /// A loan is given back when the need is covered without it by this factor.
 constexpr double surplus_factor = 1.1;
 /// Own demand that a lender keeps tokens for.
-constexpr double reserve_seconds = 0.1;
+constexpr double reserve_seconds = 0.02;
 constexpr std::chrono::milliseconds least_loan_age{50};
 constexpr std::chrono::milliseconds extension_lead{1'500};
 constexpr std::chrono::milliseconds extension_interval{300};
--- a/src/limits/rights.cpp
+++ b/src/limits/rights.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::size_t most_layers = 8;
+/// After this many loan requests in a row without a reply the node takes itself to be cut off. Its
+/// clients waited for loans that could not come while other nodes had tokens.
+constexpr std::uint32_t unanswered_limit = 6;
 /// How long after the fence was found closed requests wait for evidence.
 constexpr std::chrono::milliseconds proof_grace{250};
 
@@ -85,6 +88,11 @@
     if (taken) {
         return admission::admitted;
     }
+    if (this->unanswered.load(std::memory_order_acquire) >= unanswered_limit) {
+        // Counted as waiting so that the next round of requests finds out when peers answer again.
+        ++entry.waiting;
+        return admission::unproved;
+    }
     if (now < entry.no_help_until || this->stopping.load(std::memory_order_acquire)) {
         return part.units > 0 || entry.has_borrowed() ? admission::over_rate : admission::unproved;
     }
@@ -266,6 +274,7 @@
 
 bool rights::borrow(const borrow_reply& reply, time_point now)
 {
+    this->unanswered.store(0, std::memory_order_release);
     const auto request = this->take_pending(reply.id);
     if (!request) {
         return false;
--- a/src/limits/rights.hpp
+++ b/src/limits/rights.hpp
@@ -18,11 +18,15 @@
 namespace dragonflyroad {
 
 /// `wait`: peers may have tokens, or the fence has just closed and evidence may be on its way; call
-/// retry() after the next loan or acknowledgement, and last_try() at the end of the wait (about
-/// 100 ms). `over_rate`: nobody has tokens. `unproved`: the node's seat is not proved (fence
-/// closed), or it has none and nobody lends.
+/// retry() after the next loan or acknowledgement, and last_try() after admission_wait.
+/// `over_rate`: nobody has tokens. `unproved`: the node's seat is not proved (fence closed), it has
+/// none and nobody lends, or no peer answers, so that the client should try another node.
 enum class admission { admitted, wait, over_rate, unproved };
 
+/// How long a request that was told to wait should be held before last_try(). A loan takes about
+/// two round trips; the rest lets the fleet's tokens refill for an organisation with a small burst.
+constexpr std::chrono::milliseconds admission_wait{250};
+
 /// Loan traffic to send now.
 struct loan_plan {
     std::vector<addressed<borrow_request>> requests;
@@ -128,7 +132,8 @@
                        const std::vector<seat_key>& peers, random_engine& random, time_point now,
                        loan_plan& plan);
     void plan_loans(const organisation_id& name, account& entry, std::int64_t units_held,
-                    random_engine& random, time_point now, loan_plan& plan);
+                    const std::vector<seat_key>& peers, random_engine& random, time_point now,
+                    loan_plan& plan);
     void plan_shard(shard& part, const std::vector<seat_key>& peers, random_engine& random,
                     time_point now, loan_plan& plan);
     std::uint64_t note_pending(pending_request request, random_engine& random);
@@ -143,6 +148,8 @@
     std::atomic<std::int64_t> fence_deadline{0};
     /// When an admission first found the fence closed, 0 while it is open.
     std::atomic<std::int64_t> closed_since{0};
+    /// Loan requests in a row that timed out.
+    std::atomic<std::uint32_t> unanswered{0};
     std::atomic<bool> urgent{false};
     std::atomic<bool> stopping{false};
     std::array<shard, shard_count> shards;
--- a/src/limits/rights_plan.cpp
+++ b/src/limits/rights_plan.cpp
@@ -78,6 +78,7 @@
         for (auto& [id, request] : this->pending) {
             if (!request.timed_out && now - request.sent >= reply_timeout) {
                 request.timed_out = true;
+                this->unanswered.fetch_add(1, std::memory_order_acq_rel);
                 if (request.extends == 0) {
                     late.push_back(request.name);
                 }
@@ -130,12 +131,17 @@
 }
 
 void rights::plan_loans(const organisation_id& name, account& entry, std::int64_t units_held,
-                        random_engine& random, time_point now, loan_plan& plan)
+                        const std::vector<seat_key>& peers, random_engine& random, time_point now,
+                        loan_plan& plan)
 {
     while (auto surplus = entry.release_surplus(name, units_held, now)) {
         plan.returns.push_back(std::move(*surplus));
     }
     for (const auto& [loan, loan_part, lender, units] : entry.due_extensions(units_held, now)) {
+        // A lender whose reply is lost keeps the share out for longer and nobody uses it.
+        if (std::find(peers.begin(), peers.end(), lender) == peers.end()) {
+            continue;
+        }
         const std::uint64_t id =
             this->note_pending({name, lender, units, loan_part, now, false}, random);
         plan.requests.push_back({lender, {id, this->self, name, units, 0, loan}});
@@ -163,7 +169,7 @@
         if (place == part.accounts.end() || !place->second.has_borrowed()) {
             return true;
         }
-        this->plan_loans(name, place->second, part.units, random, now, plan);
+        this->plan_loans(name, place->second, part.units, peers, random, now, plan);
         return !place->second.has_borrowed();
     });
 }
