--- a/src/limits/rights.cpp
+++ b/src/limits/rights.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::size_t most_layers = 8;
+/// After this many loan requests in a row without a reply the node takes itself to be cut off. Its
+/// clients waited for loans that could not come while other nodes had tokens.
+constexpr std::uint32_t unanswered_limit = 6;
 /// How long after the fence was found closed requests wait for evidence.
 constexpr std::chrono::milliseconds proof_grace{250};
 
@@ -85,6 +88,11 @@
     if (taken) {
         return admission::admitted;
     }
+    if (this->unanswered.load(std::memory_order_acquire) >= unanswered_limit) {
+        // Counted as waiting so that the next round of requests finds out when peers answer again.
+        ++entry.waiting;
+        return admission::unproved;
+    }
     if (now < entry.no_help_until || this->stopping.load(std::memory_order_acquire)) {
         return part.units > 0 || entry.has_borrowed() ? admission::over_rate : admission::unproved;
     }
@@ -227,15 +235,15 @@
     const bool fenced = to_count(now) >= this->fence_deadline.load(std::memory_order_acquire);
     if (fenced || this->stopping.load(std::memory_order_acquire) ||
         request.borrower == this->self) {
-        return {request.id, 0, 0};
+        return {request.id, 0, 0, {}, {}, 0};
     }
     shard& part = this->shard_of(limits.id);
     const std::lock_guard hold(part.lock);
     if (part.units == 0) {
-        return {request.id, 0, 0};
+        return {request.id, 0, 0, {}, {}, 0};
     }
     account& entry = this->find_or_make(part, limits, now);
-    const borrow_reply reply = entry.lend(request, part.units, now);
+    const borrow_reply reply = entry.lend(request, this->self, part.units, now);
     if (reply.units > 0) {
         list_once(part.lenders, limits.id);
     }
@@ -266,13 +274,13 @@
 
 bool rights::borrow(const borrow_reply& reply, time_point now)
 {
+    this->unanswered.store(0, std::memory_order_release);
     const auto request = this->take_pending(reply.id);
     if (!request) {
         return false;
     }
-    const time_point ends = request->sent + loan_time;
-    const bool granted =
-        reply.units > 0 && ends > now && (request->extends != 0 || reply.units <= request->units);
+    const time_point ends = request->sent + std::min(reply.lasts, loan_time);
+    const bool granted = reply.units > 0 && ends > now && reply.units <= request->units;
     if (granted) {
         shard& part = this->shard_of(request->name);
         const std::lock_guard hold(part.lock);
@@ -281,10 +289,10 @@
             return false;
         }
         if (request->extends != 0) {
-            place->second.extend_loan(request->extends, part.units, ends, now);
+            place->second.extend_loan(request->extends, reply, part.units, ends, now);
         }
         else {
-            place->second.add_loan(reply.id, request->lender, reply, part.units, ends, now);
+            place->second.add_loan(reply, part.units, ends, now);
             list_once(part.borrowers, request->name);
         }
     }
