--- /dev/null
+++ b/bench/membership_fleet.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "core/random.hpp"
+#include "membership/fleet_membership.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflyroad::bench {
+
+/// The size and network of a fleet; one-way delays.
+struct fleet_shape {
+    std::string deployment;
+    std::size_t nodes = 6;
+    std::size_t data_centres = 3;
+    std::size_t regions = 1;
+    duration within_data_centre = std::chrono::microseconds{200};
+    duration between_data_centres = std::chrono::microseconds{1'500};
+    duration between_regions = std::chrono::milliseconds{60};
+    double loss = 0.01;
+    membership_settings settings;
+};
+
+fleet_shape ledgerworks(std::size_t nodes);
+fleet_shape siamcite(std::size_t nodes);
+/// 14 data centres in 6 regions and one round of pings per second.
+fleet_shape target(std::size_t nodes);
+
+/// Steps the real membership objects of a whole fleet on a manual clock. Datagrams take the shape's
+/// delays, and some are lost.
+class membership_fleet {
+public:
+    struct member {
+        std::unique_ptr<fleet_membership> membership;
+        std::size_t data_centre = 0;
+        revision_number revision = 0;
+        /// Ticks and datagrams before this time wait for it.
+        time_point paused_until;
+        bool stopped = false;
+        std::uint64_t sent_bytes = 0;
+        std::uint64_t received_bytes = 0;
+        std::uint64_t messages = 0;
+    };
+
+    /// All members know each other from the start.
+    membership_fleet(fleet_shape shape, std::uint64_t seed);
+
+    void run_until(time_point end);
+    /// Runs `action` when the clock reaches `time`.
+    void at(time_point time, std::function<void()> action);
+    /// States a revision at a member.
+    void set_revision(std::size_t node, revision_number revision);
+
+    /// One-way delay between two members.
+    duration delay(std::size_t from, std::size_t to) const;
+    std::size_t index_of(const node_id& node) const;
+
+    time_point now{std::chrono::seconds{1'000}};
+    random_engine random;
+    std::vector<member> members;
+    fleet_shape shape;
+    /// Whether datagrams from one member to another are dropped.
+    std::function<bool(std::size_t from, std::size_t to)> is_blocked;
+    /// Called with the news that a member received and the changes it saw.
+    std::function<void(std::size_t node, const membership_news& news)> on_news;
+    std::function<void(std::size_t node, const state_change& change)> on_change;
+
+private:
+    struct event {
+        time_point time;
+        std::uint64_t order = 0;
+        std::size_t node = 0;
+        /// Empty for a tick.
+        std::string bytes;
+        std::function<void()> action;
+    };
+    struct is_later {
+        bool operator()(const event& left, const event& right) const;
+    };
+
+    void push(event next);
+    void handle(event& next);
+    void tick(std::size_t node);
+    void receive(std::size_t node, const std::string& bytes);
+    void send(std::size_t from, const std::vector<datagram>& datagrams);
+    void plan_tick(std::size_t node);
+
+    std::priority_queue<event, std::vector<event>, is_later> events;
+    std::uint64_t pushed = 0;
+    std::vector<time_point> planned;
+    std::unordered_map<std::string, std::size_t> by_address;
+    std::unordered_map<node_id, std::size_t> by_name;
+};
+
+} // namespace dragonflyroad::bench
--- a/src/adapters/jsonrpc_library.hpp
+++ b/src/adapters/jsonrpc_library.hpp
@@ -11,7 +11,10 @@
 #include <string>
 #include <vector>
 
-// NOLINTBEGIN
+#if defined(__clang__)
+#pragma clang diagnostic push
+#pragma clang diagnostic ignored "-Wkeyword-macro"
+#endif
 #define throw(...) noexcept(true __VA_OPT__(&&false))
 #include <jsonrpccpp/client.h>
 #include <jsonrpccpp/client/iclientconnector.h>
@@ -21,4 +24,6 @@
 #include <jsonrpccpp/server/abstractserver.h>
 #include <jsonrpccpp/server/abstractserverconnector.h>
 #undef throw
-// NOLINTEND
+#if defined(__clang__)
+#pragma clang diagnostic pop
+#endif
--- a/src/membership/fleet_membership.cpp
+++ b/src/membership/fleet_membership.cpp
@@ -10,7 +10,7 @@
 
 } // namespace
 
-fleet_membership::fleet_membership(peer_card self, std::vector<std::string> seed_addresses,
+fleet_membership::fleet_membership(const peer_card& self, std::vector<std::string> seed_addresses,
                                    std::string fleet_secret, membership_settings settings)
     : table(self, std::move(seed_addresses), settings.peers),
       upstreams(self.run, settings.announcements),
--- a/src/membership/fleet_membership.hpp
+++ b/src/membership/fleet_membership.hpp
@@ -54,7 +54,7 @@
 /// call. Not thread-safe: one controller owns it.
 class fleet_membership {
 public:
-    fleet_membership(peer_card self, std::vector<std::string> seed_addresses,
+    fleet_membership(const peer_card& self, std::vector<std::string> seed_addresses,
                      std::string fleet_secret, membership_settings limits = {});
 
     membership_tick tick(time_point now, random_engine& random);
--- a/src/membership/message_seal.cpp
+++ b/src/membership/message_seal.cpp
@@ -88,7 +88,7 @@
     }
     std::optional<peer_message> message = decode_message(bytes);
     if (!message) {
-        const failure reason = last_failure();
+        const failure& reason = last_failure();
         const bool other_version = reason.step == "version";
         return this->refuse(other_version ? peer_refusal::wrong_version : peer_refusal::malformed,
                             reason.peer, reason.detail);
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -38,11 +38,11 @@
         this->on_pause(now);
     }
     this->last_tick = now;
+    this->forget(now);
     this->count_misses(now);
     result.changes = std::exchange(this->replaced, {});
-    this->judge_all(now, result.changes);
+    this->judge_unsettled(now, result.changes);
     if (now >= this->rounds.next()) {
-        this->forget(now);
         this->send_round(now, random, result.messages);
         this->rounds.sent(now);
     }
@@ -71,37 +71,58 @@
         }
         if (found->second.misses++ == 0) {
             found->second.first_miss = missed.sent_at;
+            this->unsettled.insert(&found->second);
         }
     }
     this->pending.forget(now - this->limits.alive_window);
 }
 
-void peer_table::judge_all(time_point now, std::vector<state_change>& changes)
+void peer_table::judge_unsettled(time_point now, std::vector<state_change>& changes)
 {
     const duration refutation = this->refutation_time();
-    for (auto& [node, peer] : this->entries) {
+    this->candidates = {};
+    std::size_t out = 0;
+    for (auto next = this->unsettled.begin(); next != this->unsettled.end();) {
+        peer_entry& peer = **next;
         const peer_state state = judge(peer, now, this->limits, refutation);
-        if (state == peer.state) {
-            continue;
+        if (state != peer.state) {
+            this->change_state(peer, state, now, changes);
         }
-        changes.push_back({peer.card, peer.state, state});
-        peer.state = state;
-        peer.since = now;
-        if (state == peer_state::suspect && !peer.reported) {
-            peer.suspected_version = peer.card.version;
-            this->queue.push(suspicion{peer.card.run, peer.card.version});
+        const bool is_out = state == peer_state::lost || state == peer_state::left;
+        out += is_out ? 1U : 0U;
+        if (state == peer_state::lost) {
+            this->candidates.lost.push_back(&peer);
         }
+        else if (peer.misses > 0 && !is_out) {
+            this->candidates.doubted.push_back(&peer);
+        }
+        const bool is_settled = state == peer_state::alive && peer.misses == 0 && !peer.reported;
+        next = is_settled ? this->unsettled.erase(next) : std::next(next);
+    }
+    this->present = this->entries.size() + 1 - out;
+}
+
+void peer_table::change_state(peer_entry& peer, peer_state state, time_point now,
+                              std::vector<state_change>& changes)
+{
+    changes.push_back({peer.card, peer.state, state});
+    peer.state = state;
+    peer.since = now;
+    if (state == peer_state::suspect && !peer.reported) {
+        peer.suspected_version = peer.card.version;
+        this->queue.push(suspicion{peer.card.run, peer.card.version});
     }
 }
 
 void peer_table::forget(time_point now)
 {
-    for (auto next = this->entries.begin(); next != this->entries.end();) {
-        const peer_entry& peer = next->second;
+    for (auto next = this->unsettled.begin(); next != this->unsettled.end();) {
+        const peer_entry& peer = **next;
         const bool is_out = peer.state == peer_state::lost || peer.state == peer_state::left;
         if (is_out && now - peer.since >= this->limits.forget_after) {
+            next = this->unsettled.erase(next);
             this->by_run.erase(peer.card.run);
-            next = this->entries.erase(next);
+            this->entries.erase(node_id{peer.card.node});
         }
         else {
             ++next;
@@ -121,8 +142,9 @@
                             std::vector<outgoing_message>& messages)
 {
     this->acks_left = this->limits.max_acks_per_interval;
-    for (const node_id& node : this->schedule.next_round(this->entries, this->facts.witnesses,
-                                                         this->limits.pings_per_round, random)) {
+    for (const node_id& node :
+         this->schedule.next_round(this->entries, this->candidates, this->facts.witnesses,
+                                   this->limits.pings_per_round, random)) {
         messages.push_back(this->make_ping(this->entries.at(node), now));
     }
     if (!this->has_contact(now)) {
@@ -155,10 +177,9 @@
     if (!peer.two_way || peer.misses > 0) {
         content.body.cards.push_back(this->own);
     }
-    for (const auto& [node, doubted] : this->entries) {
-        if (doubted.misses > 1 && doubted.state != peer_state::lost && &doubted != &peer &&
-            content.questions.size() < max_questions) {
-            content.questions.push_back(doubted.card.run);
+    for (const peer_entry* const doubted : this->candidates.doubted) {
+        if (doubted != &peer && doubted->misses > 1 && content.questions.size() < max_questions) {
+            content.questions.push_back(doubted->card.run);
         }
     }
     peer.last_pinged = now;
@@ -221,7 +242,9 @@
         peer.card = card;
         peer.since = now;
         peer.indirect = now;
-        this->by_run[card.run] = card.node;
+        this->by_run[card.run] = &peer;
+        this->unsettled.insert(&peer);
+        ++this->present;
     }
     else {
         peer_entry& peer = found->second;
@@ -229,18 +252,32 @@
             return false;
         }
         this->replace_run(peer, card, now);
+        this->unsettled.insert(&peer);
     }
-    this->queue.push(card);
     return true;
 }
 
+void peer_table::learn_and_spread(const peer_card& card, time_point now)
+{
+    if (this->learn(card, now)) {
+        this->queue.push(card);
+    }
+}
+
+void peer_table::adopt(const std::vector<peer_card>& cards, time_point now)
+{
+    for (const peer_card& card : cards) {
+        this->learn(card, now);
+    }
+}
+
 void peer_table::replace_run(peer_entry& peer, const peer_card& card, time_point now)
 {
     this->queue.withdraw_suspicion(peer.card.run);
     if (card.run != peer.card.run) {
         this->replaced.push_back({peer.card, peer.state, peer_state::lost});
         this->by_run.erase(peer.card.run);
-        this->by_run[card.run] = card.node;
+        this->by_run[card.run] = &peer;
         peer = peer_entry{};
         peer.since = now;
     }
@@ -268,13 +305,13 @@
 const peer_entry* peer_table::find(incarnation run) const
 {
     const auto found = this->by_run.find(run);
-    return found == this->by_run.end() ? nullptr : this->find(found->second);
+    return found == this->by_run.end() ? nullptr : found->second;
 }
 
 peer_entry* peer_table::entry_of(incarnation run)
 {
     const auto found = this->by_run.find(run);
-    return found == this->by_run.end() ? nullptr : &this->entries.at(found->second);
+    return found == this->by_run.end() ? nullptr : found->second;
 }
 
 std::vector<peer_card> peer_table::cards() const
@@ -288,13 +325,4 @@
     return known;
 }
 
-std::size_t peer_table::fleet_size() const
-{
-    const auto present =
-        std::count_if(this->entries.begin(), this->entries.end(), [](const auto& known) {
-            return known.second.state != peer_state::lost && known.second.state != peer_state::left;
-        });
-    return static_cast<std::size_t>(present) + 1;
-}
-
 } // namespace dragonflyroad
--- a/src/membership/peer_table.hpp
+++ b/src/membership/peer_table.hpp
@@ -104,8 +104,8 @@
     /// one for every two regular ones; two can be saved up.
     void request_round(time_point now) { this->rounds.request(now); }
 
-    /// Takes a card from gossip or from a peer's list; true when it was newer than the known one.
-    bool learn(const peer_card& card, time_point now);
+    /// Takes the list of a peer over JSON-RPC. The cards are not spread: the fleet knows them.
+    void adopt(const std::vector<peer_card>& cards, time_point now);
     /// Announces the own shutdown.
     void leave(time_point now);
 
@@ -116,17 +116,28 @@
     /// The own card and those of all peers that are neither lost nor left.
     std::vector<peer_card> cards() const;
     contact contacts(time_point now) const;
-    /// Nodes of the fleet, this one included, that are neither lost nor left.
-    std::size_t fleet_size() const;
+    /// Nodes of the fleet, this one included, that are neither lost nor left. As of the last tick,
+    /// and new ones.
+    std::size_t fleet_size() const { return this->present; }
     /// A higher incarnation of the own name exists: this process must not continue under its own.
     bool is_superseded() const { return this->superseded; }
 
     gossip_queue& gossip() { return this->queue; }
 
 private:
+    /// An order that does not depend on addresses in memory, so that a seed replays a run.
+    struct by_name {
+        bool operator()(const peer_entry* left, const peer_entry* right) const
+        {
+            return left->card.node < right->card.node;
+        }
+    };
+
     void on_pause(time_point now);
     void count_misses(time_point now);
-    void judge_all(time_point now, std::vector<state_change>& changes);
+    void judge_unsettled(time_point now, std::vector<state_change>& changes);
+    void change_state(peer_entry& peer, peer_state state, time_point now,
+                      std::vector<state_change>& changes);
     void forget(time_point now);
     void send_round(time_point now, random_engine& random, std::vector<outgoing_message>& messages);
     void ping_next_seed(time_point now, std::vector<outgoing_message>& messages);
@@ -142,6 +153,9 @@
     void note_received(peer_entry& peer, time_point now);
     static void note_two_way(peer_entry& peer, time_point proved_at);
     void take_heard(const message_body& body, time_point proved_at);
+    /// True when the card was newer than the known one.
+    bool learn(const peer_card& card, time_point now);
+    void learn_and_spread(const peer_card& card, time_point now);
     void take_news(const message_body& body, time_point now);
     void take_suspicion(const suspicion& doubt, time_point now);
     void answer_questions(const ping& content, const relayed_question& asked, ack& answer,
@@ -158,7 +172,8 @@
     peer_settings limits;
     local_facts facts;
     std::map<node_id, peer_entry> entries;
-    std::unordered_map<incarnation, node_id> by_run;
+    /// Entries of a std::map keep their place.
+    std::unordered_map<incarnation, peer_entry*> by_run;
     gossip_queue queue;
     ping_schedule schedule;
     round_timer rounds;
@@ -168,6 +183,12 @@
     std::vector<state_change> replaced;
     /// Runs by the time of their latest message, newest first; bounded.
     std::deque<incarnation> recently_heard;
+    /// Peers by what the last tick found; the schedule takes its choice from them.
+    ping_candidates candidates;
+    /// Peers whose state can change without a message: all that are not alive, have unanswered
+    /// pings or are suspected by others. Keeps the cost of a tick independent of the fleet's size.
+    std::set<peer_entry*, by_name> unsettled;
+    std::size_t present = 1;
     std::uint64_t next_nonce = 1;
     std::optional<time_point> last_tick;
     std::size_t acks_left = 0;
--- a/src/membership/peer_table_receive.cpp
+++ b/src/membership/peer_table_receive.cpp
@@ -27,9 +27,11 @@
 
 peer_entry* peer_table::sender_of(const peer_message& message, time_point now)
 {
+    const bool is_ping = std::holds_alternative<ping>(message.content);
     for (const peer_card& card : message.body().cards) {
         if (card.node == message.sender && card.run == message.sender_run) {
-            this->learn(card, now);
+            // A node that pings may just have joined; one that answers is known to the fleet.
+            is_ping ? this->learn_and_spread(card, now) : static_cast<void>(this->learn(card, now));
         }
     }
     peer_entry* const sender = this->entry_of(message.sender_run);
@@ -106,6 +108,10 @@
     result.merge_body = true;
     this->note_received(*sender, now);
     this->take_heard(content.body, acknowledged->sent_at);
+    if (!sender->two_way) {
+        // The first acknowledgement holds a sample of the fleet, which need not be spread again.
+        this->adopt(content.body.cards, now);
+    }
     this->take_news(content.body, now);
     note_two_way(*sender, acknowledged->sent_at);
     ack_evidence evidence{message.sender,         message.sender_run, acknowledged->sent_at, {}, {},
@@ -141,7 +147,7 @@
 void peer_table::take_news(const message_body& body, time_point now)
 {
     for (const peer_card& card : body.cards) {
-        this->learn(card, now);
+        this->learn_and_spread(card, now);
     }
     for (const suspicion& doubt : body.suspicions) {
         this->take_suspicion(doubt, now);
@@ -171,6 +177,7 @@
         return;
     }
     peer->reported = now;
+    this->unsettled.insert(peer);
     this->queue.push(doubt);
 }
 
--- a/src/membership/ping_schedule.cpp
+++ b/src/membership/ping_schedule.cpp
@@ -11,21 +11,14 @@
 /// pings go to peers that can answer.
 constexpr std::uint64_t lost_round_interval = 8;
 
-bool is_doubted(const peer_entry& peer)
+/// The one pinged longest ago, so that several doubted peers take turns.
+const peer_entry* longest_waiting(const std::vector<const peer_entry*>& doubted)
 {
-    return peer.misses > 0 && peer.state != peer_state::lost && peer.state != peer_state::left;
-}
-
-const peer_entry* random_lost(const std::map<node_id, peer_entry>& peers, random_engine& random)
-{
-    const peer_entry* chosen = nullptr;
-    std::uint64_t seen = 0;
-    for (const auto& [node, peer] : peers) {
-        if (peer.state == peer_state::lost && uniform_index(random, ++seen) == 0) {
-            chosen = &peer;
-        }
-    }
-    return chosen;
+    const auto longest = std::min_element(doubted.begin(), doubted.end(),
+                                          [](const peer_entry* left, const peer_entry* right) {
+                                              return left->last_pinged < right->last_pinged;
+                                          });
+    return longest == doubted.end() ? nullptr : *longest;
 }
 
 class round_builder {
@@ -52,6 +45,7 @@
 } // namespace
 
 std::vector<node_id> ping_schedule::next_round(const std::map<node_id, peer_entry>& peers,
+                                               const ping_candidates& candidates,
                                                const std::vector<node_id>& witnesses,
                                                std::size_t count, random_engine& random)
 {
@@ -68,13 +62,12 @@
         }
         this->requested.pop_front();
     }
-    else if (const peer_entry* const doubted = this->next_doubted(peers)) {
+    else if (const peer_entry* const doubted = longest_waiting(candidates.doubted)) {
         round.add(doubted->card.node);
     }
-    if (uniform_index(random, lost_round_interval) == 0) {
-        if (const peer_entry* const lost = random_lost(peers, random)) {
-            round.add(lost->card.node);
-        }
+    if (!candidates.lost.empty() && uniform_index(random, lost_round_interval) == 0) {
+        const auto chosen = uniform_index(random, candidates.lost.size());
+        round.add(candidates.lost[chosen]->card.node);
     }
     for (std::size_t tries = 0; tries < 2 * count && !round.is_full(); ++tries) {
         if (const peer_entry* const next = this->next_shuffled(peers, random)) {
@@ -93,18 +86,6 @@
     }
 }
 
-const peer_entry* ping_schedule::next_doubted(const std::map<node_id, peer_entry>& peers)
-{
-    // The one pinged longest ago, so that several doubted peers take turns.
-    const peer_entry* longest = nullptr;
-    for (const auto& [node, peer] : peers) {
-        if (is_doubted(peer) && (longest == nullptr || peer.last_pinged < longest->last_pinged)) {
-            longest = &peer;
-        }
-    }
-    return longest;
-}
-
 const peer_entry* ping_schedule::next_shuffled(const std::map<node_id, peer_entry>& peers,
                                                random_engine& random)
 {
--- a/src/membership/ping_schedule.hpp
+++ b/src/membership/ping_schedule.hpp
@@ -11,12 +11,20 @@
 
 namespace dragonflyroad {
 
+/// Peers that need pings out of turn.
+struct ping_candidates {
+    /// With unanswered pings, but not lost.
+    std::vector<const peer_entry*> doubted;
+    std::vector<const peer_entry*> lost;
+};
+
 /// Whom to ping next: the witnesses in turn, peers with unanswered pings, and all others in
 /// shuffled order, so that each peer is pinged once in every pass.
 class ping_schedule {
 public:
     /// The peers of the next round, `count` at most and without repetition.
     std::vector<node_id> next_round(const std::map<node_id, peer_entry>& peers,
+                                    const ping_candidates& candidates,
                                     const std::vector<node_id>& witnesses, std::size_t count,
                                     random_engine& random);
 
@@ -24,7 +32,6 @@
     void request(const node_id& node);
 
 private:
-    static const peer_entry* next_doubted(const std::map<node_id, peer_entry>& peers);
     const peer_entry* next_shuffled(const std::map<node_id, peer_entry>& peers,
                                     random_engine& random);
     void refill(const std::map<node_id, peer_entry>& peers, random_engine& random);
