--- a/src/adapters/rpc_server.cpp
+++ b/src/adapters/rpc_server.cpp
@@ -25,13 +25,18 @@
     }
 };
 
+/// A base, so that the connector exists before the AbstractServer that registers itself with it.
+struct connector_owner {
+    body_connector connector;
+};
+
 } // namespace
 
 /// The methods, as a libjsonrpccpp server. The library passes no context to methods, so the calling
 /// node is kept for the duration of the call on the calling thread.
-class rpc_server::dispatcher : public jsonrpc::AbstractServer<dispatcher> {
+class rpc_server::dispatcher : private connector_owner, public jsonrpc::AbstractServer<dispatcher> {
 public:
-    dispatcher() : AbstractServer<dispatcher>(this->connector) {}
+    dispatcher() : AbstractServer<dispatcher>(connector_owner::connector) {}
 
     void add(const std::string& name, method run)
     {
@@ -88,7 +93,6 @@
 
     void unused(const Json::Value& /*params*/, Json::Value& /*result*/) {}
 
-    body_connector connector;
     std::map<std::string, method> by_name;
 };
 
--- a/src/membership/message_codec.cpp
+++ b/src/membership/message_codec.cpp
@@ -320,11 +320,23 @@
     return content;
 }
 
+/// A discarded value when the bytes are not valid CBOR. nlohmann::json 3.11.2 throws on excessive
+/// lengths although it was told not to.
+json parse(std::string_view bytes)
+{
+    try {
+        return json::from_cbor(bytes, true, false);
+    }
+    catch (const json::exception&) {
+        return {json::value_t::discarded};
+    }
+}
+
 } // namespace
 
 std::optional<peer_message> decode_message(std::string_view bytes)
 {
-    const json whole = json::from_cbor(bytes, true, false);
+    const json whole = parse(bytes);
     if (!whole.is_array() || whole.empty()) {
         return fail("decode", "", "not a CBOR array");
     }
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -147,19 +147,11 @@
                                    this->limits.pings_per_round, random)) {
         messages.push_back(this->make_ping(this->entries.at(node), now));
     }
-    if (!this->has_contact(now)) {
+    if (!this->last_proof || *this->last_proof < now - this->limits.alive_window) {
         this->ping_next_seed(now, messages);
     }
 }
 
-bool peer_table::has_contact(time_point now) const
-{
-    const time_point recent = now - this->limits.alive_window;
-    return std::any_of(this->entries.begin(), this->entries.end(), [recent](const auto& known) {
-        return known.second.two_way && *known.second.two_way >= recent;
-    });
-}
-
 void peer_table::ping_next_seed(time_point now, std::vector<outgoing_message>& messages)
 {
     if (this->seeds.empty()) {
--- a/src/membership/peer_table.hpp
+++ b/src/membership/peer_table.hpp
@@ -141,7 +141,6 @@
     void forget(time_point now);
     void send_round(time_point now, random_engine& random, std::vector<outgoing_message>& messages);
     void ping_next_seed(time_point now, std::vector<outgoing_message>& messages);
-    bool has_contact(time_point now) const;
     outgoing_message make_ping(peer_entry& peer, time_point now);
     outgoing_message make_ack(const peer_entry& peer, std::uint64_t echo, time_point now);
     message_body make_body(const peer_entry& peer, time_point now) const;
@@ -151,7 +150,7 @@
     message_result on_ack(const peer_message& message, const ack& content, time_point now);
     peer_entry* sender_of(const peer_message& message, time_point now);
     void note_received(peer_entry& peer, time_point now);
-    static void note_two_way(peer_entry& peer, time_point proved_at);
+    void note_two_way(peer_entry& peer, time_point proved_at);
     void take_heard(const message_body& body, time_point proved_at);
     /// True when the card was newer than the known one.
     bool learn(const peer_card& card, time_point now);
@@ -191,6 +190,8 @@
     std::size_t present = 1;
     std::uint64_t next_nonce = 1;
     std::optional<time_point> last_tick;
+    /// The latest two-way proof with any peer; without a recent one the seeds are pinged.
+    std::optional<time_point> last_proof;
     std::size_t acks_left = 0;
     std::size_t next_seed = 0;
     bool superseded = false;
--- a/src/membership/peer_table_receive.cpp
+++ b/src/membership/peer_table_receive.cpp
@@ -9,7 +9,7 @@
 
 /// Runs kept for the heard list; more than one message holds.
 constexpr std::size_t max_recently_heard = 64;
-/// Cards sent to a node that has just joined, beside the gossiped ones.
+/// Cards sent to a node that pings a seed: it joins, or has lost contact with all others.
 constexpr std::size_t sample_size = 6;
 /// How long the answer to a relayed question can still help the asker.
 constexpr duration question_lifetime = std::chrono::seconds{3};
@@ -54,6 +54,7 @@
     if (!peer.two_way || *peer.two_way < proved_at) {
         peer.two_way = proved_at;
     }
+    this->last_proof = std::max(this->last_proof.value_or(proved_at), proved_at);
     if (proved_at >= peer.first_miss) {
         peer.misses = 0;
     }
@@ -84,7 +85,7 @@
     --this->acks_left;
     outgoing_message answer = this->make_ack(*sender, message.nonce, now);
     ack& reply = std::get<ack>(answer.message.content);
-    if (!sender->two_way) {
+    if (message.destination_run == 0) {
         this->add_sample(reply.body, random);
     }
     this->answer_questions(content, {message.sender, message.nonce, 0, now + question_lifetime},
@@ -108,8 +109,8 @@
     result.merge_body = true;
     this->note_received(*sender, now);
     this->take_heard(content.body, acknowledged->sent_at);
-    if (!sender->two_way) {
-        // The first acknowledgement holds a sample of the fleet, which need not be spread again.
+    if (acknowledged->node.empty()) {
+        // A seed's acknowledgement holds a sample of the fleet, which need not be spread again.
         this->adopt(content.body.cards, now);
     }
     this->take_news(content.body, now);
--- /dev/null
+++ b/test/error/test_one_way_partition.cpp
@@ -0,0 +1,56 @@
+#include "test/small_fleet.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyroad;
+using namespace dragonflyroad::test;
+using namespace std::chrono_literals;
+
+// Guards against a node being suspected because one peer does not receive it.
+TEST_CASE("a one-way partition is recognised on both sides and nobody is suspected")
+{
+    small_fleet fleet{6};
+    fleet.run_for(5s);
+    fleet.blocked = [](std::size_t from, std::size_t to) { return from == 1 && to == 2; };
+    fleet.run_for(8s);
+    CHECK(fleet.state(1, 2) == peer_state::one_way);
+    CHECK(fleet.state(2, 1) == peer_state::one_way);
+    CHECK(fleet.state(0, 1) == peer_state::alive);
+    CHECK(fleet.state(0, 2) == peer_state::alive);
+    CHECK(fleet.count(peer_state::suspect) == 0);
+    fleet.blocked = nullptr;
+    fleet.run_for(4s);
+    CHECK(fleet.state(1, 2) == peer_state::alive);
+    CHECK(fleet.state(2, 1) == peer_state::alive);
+}
+
+// Guards against two-way proof, which fences depend on, through a link that works one way only.
+TEST_CASE("messages in one direction give no two-way proof")
+{
+    small_fleet fleet{2};
+    fleet.run_for(3s);
+    fleet.blocked = [](std::size_t from, std::size_t) { return from == 1; };
+    const time_point cut = fleet.now;
+    fleet.run_for(10s);
+    CHECK(*fleet.nodes[0]->peers().find(node_id{"n1"})->two_way <= cut);
+    CHECK(*fleet.nodes[1]->peers().find(node_id{"n0"})->two_way <= cut);
+    CHECK(fleet.nodes[1]->peers().contacts(fleet.now).heard == 0);
+}
+
+// Guards against a dead node that stays alive in the eyes of the others.
+TEST_CASE("a node that stopped becomes suspect, then lost, and its return is noticed")
+{
+    small_fleet fleet{6};
+    fleet.run_for(5s);
+    fleet.blocked = [](std::size_t from, std::size_t to) { return from == 3 || to == 3; };
+    fleet.run_for(5s);
+    CHECK(fleet.state(0, 3) == peer_state::suspect);
+    fleet.run_for(5s);
+    for (const std::size_t node : {0U, 1U, 2U, 4U, 5U}) {
+        CHECK(fleet.state(node, 3) == peer_state::lost);
+    }
+    fleet.blocked = nullptr;
+    fleet.run_for(20s);
+    CHECK(fleet.state(0, 3) == peer_state::alive);
+    CHECK(fleet.state(3, 0) == peer_state::alive);
+}
