--- a/bench/membership_fleet.cpp
+++ b/bench/membership_fleet.cpp
@@ -64,27 +64,39 @@
 membership_fleet::membership_fleet(fleet_shape wanted, std::uint64_t seed)
     : random(seed), members(wanted.nodes), shape(std::move(wanted)), planned(shape.nodes)
 {
-    std::vector<peer_card> cards;
     for (std::size_t node = 0; node < this->shape.nodes; ++node) {
-        cards.push_back(make_card(node, node % this->shape.data_centres));
-        this->by_address.emplace(cards.back().datagram_address, node);
-        this->by_name.emplace(cards.back().node, node);
+        this->cards.push_back(make_card(node, node % this->shape.data_centres));
+        this->by_address.emplace(this->cards.back().datagram_address, node);
+        this->by_name.emplace(this->cards.back().node, node);
     }
-    const auto interval =
-        static_cast<std::uint64_t>(this->shape.settings.peers.ping_interval.count());
     for (std::size_t node = 0; node < this->shape.nodes; ++node) {
-        member& next = this->members[node];
-        next.data_centre = node % this->shape.data_centres;
-        next.membership = std::make_unique<fleet_membership>(
-            cards[node], std::vector<std::string>{cards[0].datagram_address}, "fleet secret",
-            this->shape.settings);
-        next.membership->peers().adopt(cards, this->now);
-        const time_point start = this->now + duration{uniform_index(this->random, interval)};
-        this->planned[node] = start;
-        this->push({start, 0, node, {}, {}});
+        this->members[node].data_centre = node % this->shape.data_centres;
+        this->start(node);
     }
 }
 
+void membership_fleet::start(std::size_t node)
+{
+    const auto interval =
+        static_cast<std::uint64_t>(this->shape.settings.peers.ping_interval.count());
+    member& next = this->members[node];
+    next.membership = std::make_unique<fleet_membership>(
+        this->cards[node], std::vector<std::string>{this->cards[0].datagram_address},
+        "fleet secret", this->shape.settings);
+    next.membership->peers().adopt(this->cards, this->now);
+    const time_point first = this->now + duration{uniform_index(this->random, interval)};
+    this->planned[node] = first;
+    this->push({first, 0, node, {}, {}});
+}
+
+void membership_fleet::restart(std::size_t node)
+{
+    ++this->cards[node].run;
+    const revision_number revision = std::exchange(this->members[node].revision, 0);
+    this->start(node);
+    this->set_revision(node, revision);
+}
+
 void membership_fleet::push(event next)
 {
     next.order = ++this->pushed;
@@ -109,6 +121,12 @@
     this->plan_tick(node);
 }
 
+void membership_fleet::announce(std::size_t node, const upstream_offer& offer)
+{
+    this->members[node].membership->announce(offer, this->now);
+    this->plan_tick(node);
+}
+
 duration membership_fleet::delay(std::size_t from, std::size_t to) const
 {
     const std::size_t left = this->members[from].data_centre;
--- a/bench/membership_fleet.hpp
+++ b/bench/membership_fleet.hpp
@@ -58,6 +58,11 @@
     /// States a revision at a member.
     void set_revision(std::size_t node, revision_number revision);
 
+    /// An upstream at a member's VM announces itself.
+    void announce(std::size_t node, const upstream_offer& offer);
+    /// Replaces a member by a new run that has copied the cards of its peers.
+    void restart(std::size_t node);
+
     /// One-way delay between two members.
     duration delay(std::size_t from, std::size_t to) const;
     std::size_t index_of(const node_id& node) const;
@@ -85,6 +90,7 @@
         bool operator()(const event& left, const event& right) const;
     };
 
+    void start(std::size_t node);
     void push(event next);
     void handle(event& next);
     void tick(std::size_t node);
@@ -94,6 +100,7 @@
 
     std::priority_queue<event, std::vector<event>, is_later> events;
     std::uint64_t pushed = 0;
+    std::vector<peer_card> cards;
     std::vector<time_point> planned;
     std::unordered_map<std::string, std::size_t> by_address;
     std::unordered_map<node_id, std::size_t> by_name;
--- a/src/membership/peer_entry.cpp
+++ b/src/membership/peer_entry.cpp
@@ -33,6 +33,13 @@
     if (!doubted && !peer.reported) {
         return peer_state::alive;
     }
+    // Another node heard the peer after the own link had failed. Those with a working link notice
+    // when the peer stops, so this need not be confirmed all the time.
+    const bool heard_by_others = peer.indirect && *peer.indirect > peer.first_miss &&
+                                 *peer.indirect >= now - settings.indirect_window;
+    if (doubted && heard_by_others && !peer.reported) {
+        return peer_state::one_way;
+    }
     if (peer.state == peer_state::lost) {
         return peer_state::lost;
     }
--- a/src/membership/peer_entry.hpp
+++ b/src/membership/peer_entry.hpp
@@ -24,6 +24,9 @@
     std::size_t pings_per_round = 3;
     /// A two-way proof younger than this makes a peer alive.
     duration alive_window = std::chrono::seconds{3};
+    /// How long another node's message from a peer, received after the own link to the peer had
+    /// failed, keeps this node from suspecting it by itself.
+    duration indirect_window = std::chrono::seconds{30};
     /// Unanswered pings in a row before a peer is doubted. With 1% loss each way a live peer misses
     /// 4 in a row with a probability of 1.6e-7.
     std::size_t doubt_after_misses = 4;
--- a/src/membership/peer_table.cpp
+++ b/src/membership/peer_table.cpp
@@ -170,7 +170,9 @@
         content.body.cards.push_back(this->own);
     }
     for (const peer_entry* const doubted : this->candidates.doubted) {
-        if (doubted != &peer && doubted->misses > 1 && content.questions.size() < max_questions) {
+        const bool is_answered = doubted->indirect && *doubted->indirect > doubted->first_miss &&
+                                 *doubted->indirect >= now - this->limits.indirect_window / 2;
+        if (doubted != &peer && !is_answered && content.questions.size() < max_questions) {
             content.questions.push_back(doubted->card.run);
         }
     }
