--- a/test/error/test_drain.cpp
+++ b/test/error/test_drain.cpp
@@ -1,51 +1,73 @@
-#include "test/support/fake_upstream.hpp"
-#include "test/support/raw_socket.hpp"
-#include "test/support/test_node.hpp"
+#include "test/small_fleet.hpp"
 
 #include <doctest/doctest.h>
 
 using namespace dragonflyroad;
 using namespace dragonflyroad::test;
+using namespace std::chrono_literals;
 
 namespace {
 
-/// Asks the node for its status until it holds the text; false after 20 s.
-bool status_shows(const test_node& fleet, const std::string& text)
+const upstream_offer serving{upstream_id{"10.0.0.9:80"}, service_name{"markdesk"}, 3,
+                             upstream_state::serving};
+
+std::size_t in_rotation(const small_fleet& fleet, std::size_t node)
 {
-    const time_point limit = boot_clock::now() + std::chrono::seconds{20};
-    raw_client admin{fleet.admin()};
-    while (boot_clock::now() < limit) {
-        if (admin.exchange(request_text("GET", "/v1/status", "")).body.find(text) !=
-            std::string::npos) {
-            return true;
-        }
-    }
-    return false;
+    return fleet.nodes[node]->announcements().in_rotation().size();
 }
 
 } // namespace
 
-// Guards against work for a draining upstream from nodes other than the one on its VM.
-TEST_CASE("announcements and draining reach the other nodes of the fleet")
+// Guards against new work for a draining upstream after 3 s (I9), at any node.
+TEST_CASE("draining is known everywhere within 3 s although datagrams are lost")
+{
+    small_fleet fleet{6};
+    std::size_t sent = 0;
+    fleet.blocked = [&sent](std::size_t, std::size_t) { return ++sent % 10 == 0; };
+    fleet.nodes[2]->announce(serving, fleet.now);
+    for (int second = 0; second < 5; ++second) {
+        fleet.run_for(1s);
+        fleet.nodes[2]->announce(serving, fleet.now);
+    }
+    for (std::size_t node = 0; node < 6; ++node) {
+        REQUIRE(in_rotation(fleet, node) == 1);
+    }
+    upstream_offer draining = serving;
+    draining.state = upstream_state::draining;
+    fleet.nodes[2]->announce(draining, fleet.now);
+    fleet.run_for(2990ms);
+    for (std::size_t node = 0; node < 6; ++node) {
+        const auto records = fleet.nodes[node]->announcements().in_rotation();
+        REQUIRE(records.size() == 1);
+        CHECK(records[0].state == upstream_state::draining);
+    }
+}
+
+// Guards against work for an upstream that died without deregistering.
+TEST_CASE("an upstream that stops renewing leaves the rotation")
+{
+    small_fleet fleet{3};
+    fleet.run_for(2s);
+    fleet.nodes[2]->announce(serving, fleet.now);
+    fleet.run_for(2s);
+    REQUIRE(in_rotation(fleet, 0) == 1);
+    fleet.run_for(3s);
+    for (std::size_t node = 0; node < 3; ++node) {
+        CHECK(in_rotation(fleet, node) == 0);
+    }
+}
+
+// Guards against losing the upstreams of a lost node at once, and against keeping them for ever.
+TEST_CASE("upstreams of a lost node stay for 30 s at most")
 {
-    fake_upstream upstream{
-        [](const std::string&) { return fake_upstream::reply{plain_answer(200, "hello")}; }};
-    test_node first;
-    first.start();
-    test_node second;
-    second.settings.id = node_id{"node-2"};
-    second.settings.seeds = {first.running->peer_address()};
-    second.adjust = [](node_builder& builder) { builder.with_incarnation(0xdef); };
-    second.start();
-    first.announce(upstream.address());
-    REQUIRE(status_shows(second, upstream.address() + "\",\"service\":\"marks\",\"slots\":8,"
-                                                      "\"state\":\"ready\""));
-    raw_client client{second.caller()};
-    CHECK(client.exchange(request_text("GET", "/marks/1")).body == "hello");
-    first.announce(upstream.address(), "draining");
-    const time_point announced = boot_clock::now();
-    REQUIRE(status_shows(second, "\"state\":\"draining\""));
-    CHECK(boot_clock::now() - announced < std::chrono::seconds{3});
-    CHECK(client.exchange(request_text("GET", "/marks/1")).status == 503);
-    CHECK(upstream.requests().size() == 1);
+    small_fleet fleet{3};
+    fleet.run_for(2s);
+    fleet.nodes[2]->announce(serving, fleet.now);
+    fleet.run_for(1s);
+    fleet.blocked = [](std::size_t from, std::size_t to) { return from == 2 || to == 2; };
+    fleet.run_for(20s);
+    REQUIRE(fleet.state(0, 2) == peer_state::lost);
+    CHECK(in_rotation(fleet, 0) == 1);
+    fleet.run_for(25s);
+    CHECK(in_rotation(fleet, 0) == 0);
 }
