--- a/src/node/pipeline.cpp
+++ b/src/node/pipeline.cpp
@@ -158,7 +158,7 @@
     if (owner == context.config->organisations.end()) {
         return refuse(refusal_reason::key_unknown, "the key's organisation does not exist");
     }
-    context.tenant = &owner->second;
+    context.tenant = owner->second;
     return std::nullopt;
 }
 
@@ -308,7 +308,7 @@
     }
     log_line line{"refused"};
     line.add("id", context.id).add("reason", describe(answer.reason).code);
-    line.add("organisation", context.tenant == nullptr ? "" : context.tenant->id.value);
+    line.add("organisation", !context.tenant ? "" : context.tenant->id.value);
     line.add("service", context.service.value).add("ran", to_code(answer.executed));
     line.add("detail", answer.detail);
 }
@@ -317,7 +317,7 @@
 {
     request_record entry;
     entry.id = context.id;
-    entry.organisation = context.tenant == nullptr ? "" : context.tenant->id.value;
+    entry.organisation = !context.tenant ? "" : context.tenant->id.value;
     entry.service = context.service.value;
     entry.method = context.exchange.head().method;
     entry.path = context.path();
--- a/src/node/request_context.hpp
+++ b/src/node/request_context.hpp
@@ -22,7 +22,7 @@
     std::string id;
     time_point arrived;
     std::shared_ptr<const configuration> config;
-    const organisation* tenant = nullptr;
+    std::optional<organisation> tenant;
     const route* matched = nullptr;
     const profile* rules = nullptr;
     service_name service;
--- a/standin/store_main.cpp
+++ b/standin/store_main.cpp
@@ -6,11 +6,13 @@
 
 #include <string>
 
+#include <fmt/core.h>
+
 using namespace dragonflyroad;
 
 int main(int argc, char** argv)
 {
-    CLI::App app{"A small key-value store with faults that can be switched on while it runs"};
+    CLI::App app{"A small stand-in for the platform's store, with faults for tests"};
     std::string address = "127.0.0.1:0";
     bool check = false;
     app.set_version_flag("--version", "0.1.0");
@@ -19,6 +21,11 @@
     if (const auto code = parse_command_line(app, argc, argv)) {
         return *code;
     }
+    if (!parse_address(address)) {
+        fmt::print(stderr, "--address: found {}; allowed: ip:port with a numeric IP address\n",
+                   address);
+        return exit_usage;
+    }
     if (check) {
         return exit_done;
     }
@@ -30,9 +37,9 @@
             .add("detail", last_failure().detail);
         return exit_failed;
     }
-    log_line{"store_started"}.add("address", address);
+    log_line{"store_started"}.add("address", server.address().to_text());
     standin::wait_for_stop_signal();
     server.stop();
-    log_line{"store_stopped"}.add("address", address);
+    log_line{"store_stopped"}.add("address", server.address().to_text());
     return exit_done;
 }
