--- a/bench/control_load.cpp
+++ b/bench/control_load.cpp
@@ -23,7 +23,7 @@
             const std::size_t node = uniform_index(fleet.random, fleet.members.size());
             fleet.set_revision(node, revision);
             fleet.announce(node, {upstream_id{"10.9.9.9:" + std::to_string(1'000 + revision)},
-                                  service_name{"estimates"}, 7, upstream_state::serving});
+                                  service_name{"estimates"}, 7, announced_state::serving});
         });
     }
     for (time_point next = fleet.now + restart_interval; next < end; next += restart_interval) {
--- a/bench/drain_new_work_time.cpp
+++ b/bench/drain_new_work_time.cpp
@@ -15,7 +15,7 @@
     fleet.random.seed(seed);
     const std::size_t announcer = uniform_index(fleet.random, fleet.members.size());
     upstream_offer offer{upstream_id{"10.9.9.9:" + std::to_string(seed)}, service_name{"estimates"},
-                         7, upstream_state::serving};
+                         7, announced_state::serving};
     fleet.members[announcer].membership->announce(offer, fleet.now);
     fleet.run_until(fleet.now + std::chrono::milliseconds{2'500});
     std::size_t missing = fleet.members.size() - 1;
@@ -24,14 +24,14 @@
     fleet.on_news = [&](std::size_t, const membership_news& news) {
         for (const upstream_record& record : news.upstreams) {
             const bool is_drain =
-                record.upstream == offer.upstream && record.state == upstream_state::draining;
+                record.upstream == offer.upstream && record.state == announced_state::draining;
             if (is_drain && --missing == 0) {
                 completed = fleet.now;
             }
         }
     };
     fleet.at(fleet.now, [&fleet, announcer, offer]() mutable {
-        offer.state = upstream_state::draining;
+        offer.state = announced_state::draining;
         fleet.announce(announcer, offer);
     });
     const time_point end = drained + std::chrono::seconds{10};
--- a/test/correctness/test_announcements.cpp
+++ b/test/correctness/test_announcements.cpp
@@ -11,7 +11,7 @@
 const upstream_id upstream{"1.2.3.4:80"};
 
 upstream_record record(incarnation run, std::uint64_t sequence,
-                       upstream_state state = upstream_state::serving)
+                       announced_state state = announced_state::serving)
 {
     return {upstream, service_name{"s"}, 7, state, run, sequence};
 }
@@ -24,23 +24,23 @@
     announcement_table table{1};
     CHECK(table.merge(record(5, 2), start) == merge_outcome::newer);
     CHECK(table.merge(record(5, 2), start) == merge_outcome::known);
-    CHECK(table.merge(record(5, 1, upstream_state::draining), start) == merge_outcome::older);
-    CHECK(table.merge(record(6, 1, upstream_state::draining), start) == merge_outcome::newer);
+    CHECK(table.merge(record(5, 1, announced_state::draining), start) == merge_outcome::older);
+    CHECK(table.merge(record(6, 1, announced_state::draining), start) == merge_outcome::newer);
     CHECK(table.merge(record(5, 9), start) == merge_outcome::older);
-    CHECK(table.in_rotation().at(0).state == upstream_state::draining);
+    CHECK(table.in_rotation().at(0).state == announced_state::draining);
 }
 
 // Guards against gossip for each renewal, and against upstreams that outlive their renewals.
 TEST_CASE("renewals keep an upstream for 3 s and are not spread")
 {
     announcement_table table{1};
-    const upstream_offer offer{upstream, service_name{"s"}, 7, upstream_state::serving};
+    const upstream_offer offer{upstream, service_name{"s"}, 7, announced_state::serving};
     CHECK(table.announce(offer, start));
     CHECK_FALSE(table.announce(offer, start + 2s));
     CHECK(table.expire(start + 4999ms).empty());
     const auto ended = table.expire(start + 5s);
     REQUIRE(ended.size() == 1);
-    CHECK(ended[0].state == upstream_state::gone);
+    CHECK(ended[0].state == announced_state::gone);
     CHECK(table.in_rotation().empty());
     CHECK(table.announce(offer, start + 6s)->sequence > ended[0].sequence);
 }
@@ -49,7 +49,7 @@
 TEST_CASE("removal records stay long enough and age out")
 {
     announcement_table table{1};
-    table.merge(record(5, 2, upstream_state::gone), start);
+    table.merge(record(5, 2, announced_state::gone), start);
     table.expire(start + 29min);
     CHECK(table.merge(record(5, 1), start + 29min) == merge_outcome::older);
     table.expire(start + 31min);
--- a/test/correctness/test_message_codec.cpp
+++ b/test/correctness/test_message_codec.cpp
@@ -18,7 +18,7 @@
     body.cards = {{node_id{"a"}, 4, 1, data_centre{"dc"}, "1.2.3.4:5", "1.2.3.4:6", "", true}};
     body.suspicions = {{9, 2}};
     body.upstreams = {
-        {upstream_id{"1.2.3.4:80"}, service_name{"s"}, 7, upstream_state::draining, 9, 3}};
+        {upstream_id{"1.2.3.4:80"}, service_name{"s"}, 7, announced_state::draining, 9, 3}};
     body.crashes = {{~std::uint64_t{0}, upstream_id{"1.2.3.4:80"}, 9ms}};
     body.ejections = {{upstream_id{"1.2.3.4:80"}, node_id{"a"}, upstream_verdict::slow, 8ms}};
     return {node_id{"sender"}, 9, 11, 12, ack{body, 5, true, 3}};
@@ -45,7 +45,7 @@
     content.body.upstreams.clear();
     for (std::uint64_t sequence = 1; sequence <= 60; ++sequence) {
         content.body.upstreams.push_back({upstream_id{"1.2.3.4:" + std::to_string(sequence)},
-                                          service_name{"estimates"}, 7, upstream_state::serving, 9,
+                                          service_name{"estimates"}, 7, announced_state::serving, 9,
                                           sequence});
     }
     content.synced_to = 60;
--- a/test/error/test_drain.cpp
+++ b/test/error/test_drain.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 const upstream_offer serving{upstream_id{"10.0.0.9:80"}, service_name{"markdesk"}, 3,
-                             upstream_state::serving};
+                             announced_state::serving};
 
 std::size_t in_rotation(const small_fleet& fleet, std::size_t node)
 {
@@ -33,13 +33,13 @@
         REQUIRE(in_rotation(fleet, node) == 1);
     }
     upstream_offer draining = serving;
-    draining.state = upstream_state::draining;
+    draining.state = announced_state::draining;
     fleet.nodes[2]->announce(draining, fleet.now);
     fleet.run_for(2990ms);
     for (std::size_t node = 0; node < 6; ++node) {
         const auto records = fleet.nodes[node]->announcements().in_rotation();
         REQUIRE(records.size() == 1);
-        CHECK(records[0].state == upstream_state::draining);
+        CHECK(records[0].state == announced_state::draining);
     }
 }
 
