Judge slow responses against the service's whole tail

The reference distribution left out responses of suspected upstreams, which hid the tail of noisy services and made sound upstreams look bad. It now takes in all upstreams in use.

--- a/src/routing/ejection.cpp
+++ b/src/routing/ejection.cpp
@@ -32,13 +32,11 @@
 constexpr double slow_service_share = 1.0 / 3;
 constexpr double sound_peers_share = 2.0 / 3;
 constexpr double suspicion_worth_telling = 4;
-// Own suspicion that, with two peers' agreement, suffices to act.
-constexpr double suspicion_with_peers = 8;
 // Verifications on their way at once, and overdue ones included. Each node sends its own: more
 // would fill the queue of a sound upstream with three slots and make it look bad.
 constexpr std::uint32_t verifications_at_once = 2;
 constexpr std::uint32_t verifications_allowed = 3;
-constexpr duration verification_pause = 500ms;
+constexpr duration verification_pause = 200ms;
 constexpr std::size_t largest_evidence_list = 16;
 constexpr double default_floor = 0.5;
 
@@ -204,10 +202,7 @@
 void ejection_controller::step_suspected(round& current, const upstream_assessment& seen,
                                          record& known)
 {
-    const peer_opinion opinion = ask_peers(known, seen.bad_since, current.now);
-    const bool is_proved_with_peers = seen.fresh_suspicion >= suspicion_with_peers &&
-                                      opinion.bad >= 2 && opinion.bad > opinion.good;
-    if ((seen.suspicion >= suspicion_to_eject || is_proved_with_peers) && seen.is_conclusive) {
+    if (seen.suspicion >= suspicion_to_eject && seen.is_conclusive) {
         if (this->may_eject(current, seen)) {
             this->eject(current, seen, known);
             return;
@@ -250,7 +245,7 @@
     // An ordinary response settles the suspicion unless a fresh connection hangs as well.
     const bool is_answered = seen.overdue_fresh == 0 &&
                              now - known.last_good < verification_pause &&
-                             seen.upstream->statistics.last_good_start() > seen.bad_since;
+                             seen.upstream->statistics.last_good_start() >= seen.bad_since;
     const bool is_wanted =
         is_rotating && !is_answered &&
         (seen.suspicion >= suspicion_to_verify || known.step == ejection_step::reduced ||
@@ -260,10 +255,10 @@
     const std::uint32_t allowed = seen.suspicion >= suspicion_to_eject && !seen.is_conclusive
                                       ? verifications_allowed + 2
                                       : verifications_allowed;
+    const std::uint32_t at_once = seen.suspicion < suspicion_to_reduce ? 1 : verifications_at_once;
     const std::uint32_t sent = seen.verifying + seen.overdue_fresh;
     const std::uint32_t wanted =
-        std::min(verifications_at_once - std::min(verifications_at_once, seen.verifying),
-                 allowed - std::min(allowed, sent));
+        std::min(at_once - std::min(at_once, seen.verifying), allowed - std::min(allowed, sent));
     seen.upstream->verifications.store(is_wanted ? static_cast<std::int32_t>(wanted) : 0);
 }
 
--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -18,7 +18,7 @@
 // Slow responses of an upstream are no evidence for this long after it was announced.
 constexpr duration cold_time = 15s;
 constexpr int cold_factor = 10;
-constexpr double largest_suspicion = 30;
+constexpr double largest_suspicion = 60;
 // Evidence from pooled connections alone stays below the ejection limit: it may be the fault of the
 // connections, which a fresh one shows.
 constexpr double largest_pooled_suspicion = 0.6 * suspicion_to_eject;
@@ -221,6 +221,8 @@
         // A request that has completed began at most a tick and a slow latency ago.
         known.bad_since = std::min(overdue.earliest, now);
     }
+    // An ordinary response ends an episode of slow ones, though not the suspicion.
+    known.bad_since = std::max(known.bad_since, upstream->statistics.last_good_start());
     std::uint64_t fingerprints = known.bad_fingerprints[0] | known.bad_fingerprints[1];
     for (const std::uint64_t fingerprint : overdue.fingerprints) {
         fingerprints |= to_bit(fingerprint);
@@ -244,9 +246,12 @@
     if (counts.fast + counts.slow == 0) {
         upstream->statistics.relax_smoothed_latency(upstream->reference->median());
     }
-    if ((upstream->step.load() == ejection_step::healthy &&
-         result.suspicion < suspicion_to_reduce && !is_cold) ||
-        stick.is_service_slow || this->reference.total() < samples_needed) {
+    // Slow responses of upstreams in use belong to the service's own distribution: leaving out the
+    // suspected ones would hide its tail. A faulty upstream is out after a few requests.
+    const ejection_step step = upstream->step.load();
+    const bool is_in_use = step == ejection_step::healthy || step == ejection_step::reduced;
+    if ((is_in_use && !is_cold) || stick.is_service_slow ||
+        this->reference.total() < samples_needed) {
         this->add_to_reference(counts);
     }
     return result;
--- /dev/null
+++ b/test/error/fleet_helpers.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "bench/model/false_ejections.hpp"
+#include "bench/model/fleet_model.hpp"
+
+#include <doctest/doctest.h>
+
+namespace dragonflyroad::bench {
+
+/// Share of announced upstreams of equal size that the node's decisions leave unsuspected.
+inline double unsuspected_share(const fleet_model& fleet, std::size_t node)
+{
+    double announced = 0;
+    double unsuspected = 0;
+    for (std::size_t upstream = 0; upstream < fleet.upstream_count(); ++upstream) {
+        if (fleet.is_announced(upstream)) {
+            announced += 1;
+            unsuspected += fleet.node(node).step(upstream) == ejection_step::healthy ? 1 : 0;
+        }
+    }
+    return announced > 0 ? unsuspected / announced : 1;
+}
+
+/// The share that is in rotation: neither ejected nor in probation.
+inline double rotation_share(const fleet_model& fleet, std::size_t node)
+{
+    double announced = 0;
+    double rotating = 0;
+    for (std::size_t upstream = 0; upstream < fleet.upstream_count(); ++upstream) {
+        if (fleet.is_announced(upstream)) {
+            const ejection_step step = fleet.node(node).step(upstream);
+            announced += 1;
+            rotating += step == ejection_step::healthy || step == ejection_step::reduced ? 1 : 0;
+        }
+    }
+    return announced > 0 ? rotating / announced : 1;
+}
+
+/// A plan with one fault at the given upstream after six seconds.
+inline scenario one_fault(std::uint64_t seed, upstream_fault fault, std::size_t upstream)
+{
+    scenario plan;
+    plan.shape = service_shapes()[seed % service_shapes().size()];
+    plan.seed = seed;
+    timed_event change;
+    change.at = fleet_model::start() + std::chrono::seconds{6};
+    change.upstream = upstream;
+    change.fault = fault;
+    plan.schedule.push_back(change);
+    return plan;
+}
+
+} // namespace dragonflyroad::bench
