--- a/src/config/compact_table.hpp
+++ b/src/config/compact_table.hpp
@@ -72,11 +72,24 @@
         std::optional<value_type> value;
     };
 
-    /// Allows `table[key] = record`.
-    class assigner {
+    /// What `table[key]` gives: the record, which is packed again at the end of the expression, so
+    /// that it and its members can be assigned. A missing record is created.
+    class writable_record : public mapped_type {
     public:
-        assigner(compact_table& owner, key_type target) : table(owner), key(std::move(target)) {}
-        void operator=(const mapped_type& record) { this->table.insert_or_assign(key, record); }
+        writable_record(compact_table& owner, key_type target)
+            : mapped_type(owner.find_or_default(target)), table(owner), key(std::move(target))
+        {
+        }
+        writable_record(const writable_record&) = delete;
+        writable_record& operator=(const writable_record&) = delete;
+        writable_record(writable_record&&) = delete;
+        writable_record& operator=(writable_record&&) = delete;
+        ~writable_record() { this->table.insert_or_assign(this->key, *this); }
+        writable_record& operator=(const mapped_type& record)
+        {
+            static_cast<mapped_type&>(*this) = record;
+            return *this;
+        }
 
     private:
         compact_table& table;
@@ -105,10 +118,16 @@
         return found->second;
     }
 
+    mapped_type find_or_default(const key_type& key) const
+    {
+        const const_iterator found = this->find(key);
+        return found == this->end() ? mapped_type{} : found->second;
+    }
+
     std::size_t size() const { return this->count; }
     bool empty() const { return this->count == 0; }
 
-    assigner operator[](const key_type& key) { return {*this, key}; }
+    writable_record operator[](const key_type& key) { return {*this, key}; }
 
     void emplace(const key_type& key, const mapped_type& record)
     {
--- a/test/correctness/test_compact_table.cpp
+++ b/test/correctness/test_compact_table.cpp
@@ -45,6 +45,9 @@
     const std::string digest = sha256_hex("key");
     config.keys[digest] = key_record{digest, organisation_id{"o"}, key_state::granted};
     CHECK(config.keys.at(digest).digest == digest);
+    config.keys[digest].state = key_state::withdrawn;
+    CHECK(config.keys.at(digest).state == key_state::withdrawn);
+    CHECK(config.keys.at(digest).organisation.value == "o");
     CHECK(config.keys.find(sha256_hex("other")) == config.keys.end());
     CHECK_FALSE(config.keys.contains("key"));
     CHECK_FALSE(config.keys.contains(""));
