--- a/src/adapters/rpc_client.hpp
+++ b/src/adapters/rpc_client.hpp
@@ -10,7 +10,8 @@
 
 namespace dragonflyroad {
 
-/// Calls methods of other nodes over their peer port. Thread-safe; connections are kept for reuse.
+/// Calls methods of other nodes over their peer port. Thread-safe; connections are reused
+/// when the server answers with `Connection: keep-alive`.
 /// A call is sent once and never repeated.
 class rpc_client {
 public:
