Admit requests by the fleet-wide rights

Each node admitted the whole rate and burst of an organisation. The node now holds a seat in rights/ledger, performs the store calls, consents and loans that rights_controller and rights ask for, relays proofs and witness promises in acknowledgements, and leaves its seat when it stops. The peer port answers borrow, return_loan, consent and ledger.

A node whose seat was reclaimed refuses with rights_unproved until it is restarted: it does not take a new run yet.

--- /dev/null
+++ b/src/node/fleet_rights.cpp
@@ -0,0 +1,337 @@
+#include "node/fleet_rights.hpp"
+
+#include "adapters/log.hpp"
+#include "core/failure.hpp"
+#include "limits/ledger_codec.hpp"
+#include "limits/message_codec.hpp"
+#include "membership/fleet_membership.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflyroad {
+namespace {
+
+constexpr const char* ledger_key = "rights/ledger";
+constexpr std::chrono::milliseconds control_tick{100};
+constexpr std::chrono::milliseconds trade_tick{10};
+constexpr std::chrono::milliseconds store_timeout{500};
+constexpr std::chrono::milliseconds call_timeout{100};
+/// How long a request waits for a loan; see admission::wait.
+constexpr std::chrono::milliseconds loan_wait{100};
+
+rate_verdict to_verdict(admission result)
+{
+    switch (result) {
+    case admission::admitted:
+        return rate_verdict::admitted;
+    case admission::over_rate:
+        return rate_verdict::over_rate;
+    case admission::wait:
+    case admission::unproved:
+        break;
+    }
+    return rate_verdict::unproved;
+}
+
+ledger_write_outcome to_ledger_outcome(write_outcome outcome)
+{
+    switch (outcome) {
+    case write_outcome::written:
+        return ledger_write_outcome::written;
+    case write_outcome::conflict:
+        return ledger_write_outcome::conflict;
+    case write_outcome::unknown:
+        break;
+    }
+    return ledger_write_outcome::unknown;
+}
+
+} // namespace
+
+fleet_rights::fleet_rights(parts given)
+    : own(std::move(given)),
+      quota(own.key),
+      client(own.key.node, own.secret),
+      random(own.seed),
+      controller(own.key, own.centre, own.peer_address, quota)
+{
+}
+
+rate_verdict fleet_rights::admit(const organisation& limits, time_point deadline)
+{
+    time_point now = boot_clock::now();
+    admission result = this->quota.admit(limits, now);
+    if (result != admission::wait) {
+        return to_verdict(result);
+    }
+    this->trade_task->wake();
+    const time_point limit = std::min(deadline, now + loan_wait);
+    std::unique_lock lock{this->mutex};
+    while (result == admission::wait && now < limit) {
+        this->changed.wait_for(lock, limit - now);
+        now = boot_clock::now();
+        result = this->quota.retry(limits, now);
+    }
+    return to_verdict(result == admission::wait ? this->quota.last_try(limits, now) : result);
+}
+
+void fleet_rights::add_methods(rpc_server& server)
+{
+    using json = nlohmann::json;
+    server.add("borrow", [this](const json& params, const node_id&) { return this->lend(params); });
+    server.add("return_loan",
+               [this](const json& params, const node_id&) { return this->take_back(params); });
+    server.add("consent",
+               [this](const json& params, const node_id&) { return this->consent(params); });
+    server.add("ledger", [this](const json&, const node_id&) { return this->show_ledger(); });
+}
+
+void fleet_rights::start()
+{
+    this->trade_task = std::make_unique<periodic_task>([this] { return this->trade(); });
+    this->control_task = std::make_unique<periodic_task>([this] { return this->control(); });
+}
+
+void fleet_rights::stop(time_point deadline)
+{
+    std::unique_lock lock{this->mutex};
+    this->controller.stop(boot_clock::now());
+    this->controller.set_claims_handed_over(this->controller.book().seat_version);
+    while (!this->controller.has_left() && !this->is_seat_lost && boot_clock::now() < deadline) {
+        this->changed.wait_for(lock, deadline - boot_clock::now());
+    }
+    lock.unlock();
+    this->control_task->stop();
+    this->trade_task->stop();
+}
+
+duration fleet_rights::control()
+{
+    const std::vector<rights_peer> peers = this->own.members.peers();
+    this->fetch_ledger();
+    rights_step step;
+    {
+        const std::scoped_lock lock{this->mutex};
+        if (this->is_seat_lost) {
+            return control_tick;
+        }
+        const time_point now = boot_clock::now();
+        step = this->controller.step(peers, this->random, now);
+        this->quota.evict(now);
+        this->is_seat_lost = step.seat_lost;
+    }
+    if (step.seat_lost) {
+        log_line{"seat_lost"}.add("node", this->own.key.node.value);
+    }
+    if (step.write) {
+        this->perform_write(*step.write);
+    }
+    if (step.read_ledger) {
+        this->perform_read();
+    }
+    this->ask_consents(step);
+    this->changed.notify_all();
+    return control_tick;
+}
+
+void fleet_rights::perform_write(const ledger_write& write)
+{
+    const write_result result = this->own.ledger_store->write(
+        ledger_key, encode(write.book), write.expected_version, boot_clock::now() + store_timeout);
+    if (write.kind != "proof") {
+        log_line{"ledger_write"}
+            .add("kind", write.kind)
+            .add("outcome", static_cast<int>(result.outcome));
+    }
+    const std::scoped_lock lock{this->mutex};
+    this->controller.note_write(to_ledger_outcome(result.outcome), result.version,
+                                boot_clock::now());
+}
+
+void fleet_rights::perform_read()
+{
+    const auto value = this->own.ledger_store->read(ledger_key, boot_clock::now() + store_timeout);
+    const time_point now = boot_clock::now();
+    const std::scoped_lock lock{this->mutex};
+    if (!value) {
+        this->controller.note_read_failed(now);
+        return;
+    }
+    if (value->version == 0) {
+        this->controller.note_read(std::nullopt, 0, now);
+        return;
+    }
+    const auto book = decode_ledger(value->bytes);
+    if (!book) {
+        log_line{"ledger_refused"}.add("detail", last_failure().detail);
+        this->controller.note_read_failed(now);
+        return;
+    }
+    this->controller.note_read(book, value->version, now);
+}
+
+void fleet_rights::ask_consents(const rights_step& step)
+{
+    for (const auto& [to, message] : step.consents) {
+        const auto address = this->own.members.rpc_address(to);
+        const auto answer = !address ? std::nullopt
+                                     : this->client.call(*address, "consent", to_json(message),
+                                                         boot_clock::now() + call_timeout);
+        const auto reply = !answer ? std::nullopt : from_json<consent_reply>(*answer);
+        if (reply) {
+            const std::scoped_lock lock{this->mutex};
+            this->controller.note_consent(to, *reply, boot_clock::now());
+        }
+    }
+}
+
+void fleet_rights::fetch_ledger()
+{
+    std::string address;
+    {
+        const std::scoped_lock lock{this->mutex};
+        address = std::exchange(this->fetch_from, {});
+    }
+    if (address.empty()) {
+        return;
+    }
+    const auto answer = this->client.call(address, "ledger", nlohmann::json::object(),
+                                          boot_clock::now() + call_timeout);
+    if (!answer || !answer->is_object() || !answer->contains("book") ||
+        !answer->at("book").is_string()) {
+        return;
+    }
+    if (const auto book = decode_ledger(answer->at("book").get<std::string>())) {
+        const std::scoped_lock lock{this->mutex};
+        // The store's version is not relayed; the next read or write learns it.
+        this->controller.note_relayed(*book, 0, boot_clock::now());
+    }
+}
+
+duration fleet_rights::trade()
+{
+    const std::vector<rights_peer> peers = this->own.members.peers();
+    loan_plan plan;
+    {
+        const std::scoped_lock lock{this->mutex};
+        plan = this->quota.wanted(this->controller.lenders(peers), this->random, boot_clock::now());
+    }
+    for (const auto& request : plan.requests) {
+        this->borrow(request);
+    }
+    for (const auto& [to, message] : plan.returns) {
+        if (const auto address = this->own.members.rpc_address(to)) {
+            this->client.call(*address, "return_loan", to_json(message),
+                              boot_clock::now() + call_timeout);
+        }
+    }
+    return trade_tick;
+}
+
+void fleet_rights::borrow(const addressed<borrow_request>& request)
+{
+    const auto address = this->own.members.rpc_address(request.to);
+    const auto answer = !address ? std::nullopt
+                                 : this->client.call(*address, "borrow", to_json(request.message),
+                                                     boot_clock::now() + call_timeout);
+    const auto reply = !answer ? std::nullopt : from_json<borrow_reply>(*answer);
+    if (!reply) {
+        this->quota.give_up(request.message.id, boot_clock::now());
+        return;
+    }
+    this->quota.borrow(*reply, boot_clock::now());
+    const std::scoped_lock lock{this->mutex};
+    this->changed.notify_all();
+}
+
+std::optional<nlohmann::json> fleet_rights::lend(const nlohmann::json& params)
+{
+    const auto request = from_json<borrow_request>(params);
+    if (!request) {
+        return std::nullopt;
+    }
+    const auto config = this->own.board.config.read();
+    const auto limits = config->organisations.find(request->organisation);
+    if (limits == config->organisations.end()) {
+        return fail("borrow", request->borrower.node.value, "the organisation is not known");
+    }
+    return to_json(this->quota.lend(*request, limits->second, boot_clock::now()));
+}
+
+std::optional<nlohmann::json> fleet_rights::take_back(const nlohmann::json& params)
+{
+    const auto message = from_json<loan_return>(params);
+    if (!message) {
+        return std::nullopt;
+    }
+    this->quota.take_back(*message, boot_clock::now());
+    return nlohmann::json::object();
+}
+
+std::optional<nlohmann::json> fleet_rights::consent(const nlohmann::json& params)
+{
+    const auto request = from_json<consent_request>(params);
+    if (!request) {
+        return std::nullopt;
+    }
+    time_point last_heard{};
+    for (const rights_peer& peer : this->own.members.peers()) {
+        last_heard = peer.key == request->holder ? peer.last_heard : last_heard;
+    }
+    const std::scoped_lock lock{this->mutex};
+    return to_json(this->controller.answer(*request, last_heard, boot_clock::now()));
+}
+
+std::optional<nlohmann::json> fleet_rights::show_ledger()
+{
+    const std::scoped_lock lock{this->mutex};
+    if (!this->controller.knows_ledger()) {
+        return fail("ledger", this->own.key.node.value, "the ledger is not known yet");
+    }
+    return nlohmann::json{{"book", encode(this->controller.book())}};
+}
+
+void fleet_rights::fill_facts(local_facts& facts, const std::vector<seat_key>& peers,
+                              time_point now)
+{
+    const std::scoped_lock lock{this->mutex};
+    if (this->controller.knows_ledger()) {
+        const ledger& book = this->controller.book();
+        facts.seat_version = book.version;
+        if (this->controller.proof().ledger_version == book.version) {
+            facts.ledger_proof = this->controller.proof().as_of;
+        }
+        if (const seat* const entry = book.find(this->own.key)) {
+            for (const seat_key& witness : entry->witnesses) {
+                facts.witnesses.push_back(witness.node);
+            }
+        }
+    }
+    for (const seat_key& peer : peers) {
+        if (!this->controller.promises(peer, now)) {
+            facts.consented.insert(peer.run);
+        }
+    }
+}
+
+void fleet_rights::take_news(const membership_news& news, time_point now)
+{
+    const std::scoped_lock lock{this->mutex};
+    if (news.seat_version > this->controller.book().version && !news.rpc_address.empty()) {
+        this->fetch_from = news.rpc_address;
+    }
+    if (!news.evidence) {
+        return;
+    }
+    const ack_evidence& proof = *news.evidence;
+    this->controller.note_promise({proof.from, proof.run}, proof.witness_promise, proof.proved_at);
+    if (proof.ledger_proof) {
+        this->controller.note_proof({news.seat_version, 0, *proof.ledger_proof}, now);
+    }
+}
+
+} // namespace dragonflyroad
--- a/src/node/membership_controller.cpp
+++ b/src/node/membership_controller.cpp
@@ -38,7 +38,11 @@
 void membership_controller::state_facts(time_point now)
 {
     local_facts facts;
-    this->hooks.fill_facts(facts, now);
+    std::vector<seat_key> runs;
+    for (const auto& [node, peer] : this->members->peers().peers()) {
+        runs.push_back({node, peer.card.run});
+    }
+    this->hooks.fill_facts(facts, runs, now);
     this->members->set_facts(std::move(facts), now);
 }
 
--- a/src/node/membership_controller.hpp
+++ b/src/node/membership_controller.hpp
@@ -21,7 +21,7 @@
 struct membership_hooks {
     /// The facts that the next message states; asked before each one, because a statement that was
     /// true before a pause of the process may no longer be.
-    std::function<void(local_facts&, time_point)> fill_facts;
+    std::function<void(local_facts&, const std::vector<seat_key>& peers, time_point)> fill_facts;
     std::function<void(const membership_news&, time_point)> on_news;
     std::function<void(const std::vector<announced_upstream>&)> on_upstreams;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,7 +9,9 @@
 #include "node/blackboard.hpp"
 #include "node/config_controller.hpp"
 #include "node/explain_log.hpp"
+#include "node/fleet_rights.hpp"
 #include "node/membership_controller.hpp"
+#include "node/peer_port.hpp"
 #include "node/periodic_task.hpp"
 #include "node/pipeline.hpp"
 #include "node/retry_gates.hpp"
@@ -30,6 +32,9 @@
 
 constexpr std::size_t explained_requests = 4'096;
 constexpr std::chrono::milliseconds routing_tick{50};
+/// Loans last 3 s and are reclaimed after 3.6 s; a seat that cannot be left in this time, because
+/// the store does not answer, is reclaimed by the peers.
+constexpr std::chrono::seconds seat_leave_time{5};
 
 template<typename Gate, typename Default>
 void fill_in(std::shared_ptr<Gate>& gate, std::shared_ptr<Default> standard)
@@ -47,6 +52,9 @@
         : settings(given),
           upstreams(std::make_shared<routed_upstreams>(given.id, run)),
           members(this->make_hooks(), run),
+          methods(given.secret),
+          peer_server(this->open_peer_port()),
+          quota(this->make_quota(given_store, run)),
           requests({this->board, this->complete(std::move(given_gates)), std::move(given_carrier),
                     this->counters, this->explanations, prefix}),
           admin({this->members, this->counters, this->explanations,
@@ -57,6 +65,8 @@
 
     gates complete(gates decisions);
     membership_hooks make_hooks();
+    std::unique_ptr<http_server> open_peer_port();
+    std::shared_ptr<fleet_rights> make_quota(std::shared_ptr<store> ledger_store, incarnation run);
     bool join_fleet(incarnation run);
     std::string status();
     bool listen(const std::chrono::milliseconds& request_timeout);
@@ -72,12 +82,15 @@
     std::shared_ptr<shared_crash_log> crashes = std::make_shared<shared_crash_log>();
     std::shared_ptr<routed_upstreams> upstreams;
     membership_controller members;
+    rpc_server methods;
+    std::atomic<bool> has_methods = false;
+    std::unique_ptr<http_server> peer_server;
+    std::shared_ptr<fleet_rights> quota;
     pipeline requests;
     admin_port admin;
     config_controller config;
     std::unique_ptr<http_server> caller_server;
     std::unique_ptr<http_server> admin_server;
-    std::unique_ptr<http_server> peer_server;
     std::unique_ptr<periodic_task> config_task;
     std::unique_ptr<periodic_task> routing_task;
     std::mutex mutex;
@@ -90,7 +103,7 @@
 gates node::parts::complete(gates decisions)
 {
     fill_in(decisions.freshness, std::make_shared<always_current>());
-    fill_in(decisions.rate, std::make_shared<local_rates>());
+    fill_in(decisions.rate, this->quota);
     fill_in(decisions.crash, this->crashes);
     fill_in(decisions.claims, std::make_shared<local_claims>());
     fill_in(decisions.upstreams, this->upstreams);
@@ -101,8 +114,12 @@
 membership_hooks node::parts::make_hooks()
 {
     membership_hooks hooks;
-    hooks.fill_facts = [this](local_facts& facts, time_point) {
+    hooks.fill_facts = [this](local_facts& facts, const std::vector<seat_key>& peers,
+                              time_point now) {
         facts.revision = this->board.config.read()->revision;
+        if (this->quota != nullptr) {
+            this->quota->fill_facts(facts, peers, now);
+        }
     };
     hooks.on_news = [this](const membership_news& news, time_point now) {
         std::vector<crash_record> records;
@@ -110,11 +127,43 @@
             records.push_back({report.fingerprint, report.upstream, now - report.age});
         }
         this->crashes->merge(records, now);
+        if (this->quota != nullptr) {
+            this->quota->take_news(news, now);
+        }
     };
     hooks.on_upstreams = [this](const auto& list) { this->upstreams->set_upstreams(list); };
     return hooks;
 }
 
+std::unique_ptr<http_server> node::parts::open_peer_port()
+{
+    http_server_options options;
+    options.address = this->settings.peer_address;
+    options.threads = 16;
+    return http_server::start(options, [this](http_exchange& exchange) {
+        if (!this->has_methods) {
+            exchange.send(503, {}, "");
+            return;
+        }
+        handle_peer_request(this->methods, exchange);
+    });
+}
+
+std::shared_ptr<fleet_rights> node::parts::make_quota(std::shared_ptr<store> ledger_store,
+                                                      incarnation run)
+{
+    const std::string address = this->peer_server == nullptr ? "" : this->peer_server->address();
+    fleet_rights::parts given{{this->settings.id, run},
+                              this->settings.centre,
+                              address,
+                              std::move(ledger_store),
+                              this->members,
+                              this->board,
+                              this->settings.secret,
+                              run};
+    return std::make_shared<fleet_rights>(std::move(given));
+}
+
 bool node::parts::join_fleet(incarnation run)
 {
     peer_card card;
@@ -125,6 +174,8 @@
     card.rpc_address = this->peer_server->address();
     card.datagram_address = card.rpc_address;
     card.admin_address = this->admin_server->address();
+    this->quota->add_methods(this->methods);
+    this->has_methods = true;
     return this->members.start(card, this->settings.seeds, this->settings.secret);
 }
 
@@ -151,17 +202,14 @@
     options.max_header_bytes = this->settings.max_header_bytes;
     options.address = this->settings.admin_address;
     options.threads = 8;
+    if (this->peer_server == nullptr) {
+        return false;
+    }
     this->admin_server = http_server::start(
         options, [this](http_exchange& exchange) { this->admin.handle(exchange); });
     if (this->admin_server == nullptr) {
         return false;
     }
-    options.address = this->settings.peer_address;
-    this->peer_server =
-        http_server::start(options, [](http_exchange& exchange) { exchange.send(404, {}, ""); });
-    if (this->peer_server == nullptr) {
-        return false;
-    }
     options.address = this->settings.caller_address;
     options.threads = static_cast<int>(this->settings.worker_threads);
     this->caller_server =
@@ -171,6 +219,7 @@
 
 void node::parts::start_controllers()
 {
+    this->quota->start();
     this->config_task = std::make_unique<periodic_task>([this] { return this->config.follow(); });
     this->routing_task = std::make_unique<periodic_task>([this] {
         this->evaluate_upstreams();
@@ -265,6 +314,7 @@
     own.board.phase = node_phase::stopping;
     own.wait_until_idle();
     own.caller_server->stop();
+    own.quota->stop(boot_clock::now() + seat_leave_time);
     own.config_task->stop();
     own.routing_task->stop();
     own.members.stop();
--- /dev/null
+++ b/src/node/peer_port.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "adapters/http_exchange.hpp"
+#include "adapters/rpc_server.hpp"
+
+namespace dragonflyroad {
+
+/// Answers a request on the peer port: JSON-RPC calls signed with the fleet secret.
+void handle_peer_request(rpc_server& methods, http_exchange& exchange);
+
+} // namespace dragonflyroad
--- a/test/support/test_node.cpp
+++ b/test/support/test_node.cpp
@@ -1,6 +1,7 @@
 #include "test/support/test_node.hpp"
 
 #include "core/digest.hpp"
+#include "node/simple_gates.hpp"
 #include "test/support/raw_socket.hpp"
 
 #include <condition_variable>
@@ -113,6 +114,7 @@
     this->config.organisations[organisation_id{"acme"}] = {organisation_id{"acme"}, 1000, 1000, 1};
     const std::string digest = sha256_hex("acme-key");
     this->config.keys[digest] = {digest, organisation_id{"acme"}, key_state::granted};
+    this->decisions.rate = std::make_shared<local_rates>();
     this->settings.id = node_id{"node-1"};
     this->settings.centre = data_centre{"dc-1"};
     this->settings.caller_address = "127.0.0.1:0";
