--- a/src/claims/claim_table.cpp
+++ b/src/claims/claim_table.cpp
@@ -258,6 +258,7 @@
         }
     }
     std::vector<addressed<claim_hand_over>> messages;
+    messages.reserve(due.size());
     for (auto& [receiver, message] : due) {
         messages.push_back({receiver, std::move(message)});
     }
--- a/src/limits/account.cpp
+++ b/src/limits/account.cpp
@@ -188,7 +188,7 @@
 
 borrow_reply account::extend_lent(const borrow_request& request, std::int64_t own, time_point now)
 {
-    const borrow_reply refusal{request.id, 0, 0, {}, {}, 0};
+    borrow_reply refusal{request.id, 0, 0, {}, {}, 0};
     auto& lent = this->books().lent;
     const auto place = find_loan(lent, request.extends);
     const bool own_need = this->waiting > 0 || this->needed_units(now) > this->net_units(own);
@@ -218,7 +218,7 @@
                               time_point now)
 {
     constexpr std::chrono::milliseconds least_rest{300};
-    const borrow_reply refusal{request.id, 0, 0, {}, {}, 0};
+    borrow_reply refusal{request.id, 0, 0, {}, {}, 0};
     if (!this->loans || this->loans->borrowed.empty()) {
         return refusal;
     }
@@ -236,8 +236,8 @@
         return refusal;
     }
     const double tokens = this->tokens_for(request, units, own, now);
-    const borrow_reply reply{request.id,    units,    tokens, std::min(rest, loan_time),
-                             place->lender, place->id};
+    borrow_reply reply{request.id,    units,    tokens, std::min(rest, loan_time),
+                       place->lender, place->id};
     place->units -= units;
     if (place->units == 0) {
         borrowed.erase(place);
@@ -250,7 +250,7 @@
 borrow_reply account::lend(const borrow_request& request, const seat_key& self, std::int64_t own,
                            time_point now)
 {
-    const borrow_reply refusal{request.id, 0, 0, {}, {}, 0};
+    borrow_reply refusal{request.id, 0, 0, {}, {}, 0};
     this->advance(own, now);
     if (request.extends != 0) {
         return this->loans ? this->extend_lent(request, own, now) : refusal;
--- a/src/limits/rights.cpp
+++ b/src/limits/rights.cpp
@@ -243,7 +243,7 @@
         return {request.id, 0, 0, {}, {}, 0};
     }
     account& entry = this->find_or_make(part, limits, now);
-    const borrow_reply reply = entry.lend(request, this->self, part.units, now);
+    borrow_reply reply = entry.lend(request, this->self, part.units, now);
     if (reply.units > 0) {
         list_once(part.lenders, limits.id);
     }
