--- /dev/null
+++ b/src/adapters/upstream_connection.cpp
@@ -0,0 +1,305 @@
+#include "adapters/upstream_connection.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace dragonflyroad {
+namespace {
+
+/// Given to the library in place of the upstream's head: a body that lasts until the stream ends.
+constexpr std::string_view plain_head = "HTTP/1.1 200 OK\r\n\r\n";
+constexpr std::string_view bodiless_head = "HTTP/1.1 204 No Content\r\n\r\n";
+
+/// Bodies up to this size go out together with the head, in one packet where they fit.
+constexpr std::size_t largest_joined_body = 16U << 10U;
+
+std::string serialise_head(const outbound_request& request)
+{
+    std::string text = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    for (const http_header& header : request.headers) {
+        text += header.name + ": " + header.value + "\r\n";
+    }
+    const bool may_have_body = request.method != "GET" && request.method != "HEAD";
+    if (!request.body.empty() || may_have_body) {
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    return text + "\r\n";
+}
+
+enum class wait_outcome { ready, timed_out, failed };
+
+wait_outcome wait_for(int descriptor, short events, time_point until)
+{
+    while (true) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - boot_clock::now());
+        pollfd entry{descriptor, events, 0};
+        const int count =
+            poll(&entry, 1, static_cast<int>(std::clamp<std::int64_t>(left.count(), 0, 3'600'000)));
+        if (count > 0) {
+            return wait_outcome::ready;
+        }
+        if (count == 0) {
+            return wait_outcome::timed_out;
+        }
+        if (errno != EINTR) {
+            return wait_outcome::failed;
+        }
+    }
+}
+
+} // namespace
+
+struct upstream_connection::running_exchange {
+    running_exchange(const outbound_request& outbound, answer_receiver& answer)
+        : request(outbound),
+          receiver(answer),
+          reader(outbound.method,
+                 [this](char* into, std::size_t size) { return this->receive(into, size); })
+    {
+    }
+
+    const outbound_request& request;
+    answer_receiver& receiver;
+    answer_reader reader;
+    int descriptor = -1;
+    bool sent = false;
+    bool timed_out = false;
+    bool cancelled = false;
+    bool head_delivered = false;
+    bool ended = false;
+
+    time_point next_limit() const
+    {
+        const time_point idle_limit = boot_clock::now() + this->request.idle_timeout;
+        return this->reader.has_bytes() ? idle_limit : std::min(idle_limit, this->request.deadline);
+    }
+
+    long receive(char* into, std::size_t size)
+    {
+        const wait_outcome outcome = wait_for(this->descriptor, POLLIN, this->next_limit());
+        if (outcome != wait_outcome::ready) {
+            this->timed_out = outcome == wait_outcome::timed_out;
+            return -1;
+        }
+        return recv(this->descriptor, into, size, 0);
+    }
+
+    bool transmit_all(std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            const long count = this->transmit(bytes.data(), bytes.size());
+            if (count <= 0) {
+                return false;
+            }
+            bytes.remove_prefix(static_cast<std::size_t>(count));
+        }
+        return true;
+    }
+
+    long transmit(const char* bytes, std::size_t size)
+    {
+        const wait_outcome outcome = wait_for(this->descriptor, POLLOUT, this->next_limit());
+        if (outcome != wait_outcome::ready) {
+            this->timed_out = outcome == wait_outcome::timed_out;
+            return -1;
+        }
+        // Set before the call: a failed call may still have passed bytes on.
+        this->sent = true;
+        return ::send(this->descriptor, bytes, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+};
+
+namespace {
+
+template<typename Run>
+class answer_stream : public httplib::Stream {
+public:
+    explicit answer_stream(Run& exchange) : run(exchange) {}
+
+    bool is_readable() const override { return true; }
+    bool is_writable() const override { return true; }
+    void get_remote_ip_and_port(std::string&, int&) const override {}
+    void get_local_ip_and_port(std::string&, int&) const override {}
+    socket_t socket() const override { return this->run.descriptor; }
+
+    /// The library writes its request in one call, with headers that the client did not send. Ours
+    /// goes out in its place.
+    ssize_t write(const char*, size_t size) override
+    {
+        if (std::exchange(this->written, true)) {
+            return -1;
+        }
+        const outbound_request& request = this->run.request;
+        std::string text = serialise_head(request);
+        if (request.body.size() <= largest_joined_body) {
+            text.append(request.body);
+            return this->run.transmit_all(text) ? static_cast<ssize_t>(size) : -1;
+        }
+        const bool is_sent = this->run.transmit_all(text) && this->run.transmit_all(request.body);
+        return is_sent ? static_cast<ssize_t>(size) : -1;
+    }
+
+    ssize_t read(char* into, size_t size) override
+    {
+        if (!this->run.head_delivered && !this->deliver_head()) {
+            return -1;
+        }
+        if (!this->head_left.empty()) {
+            const std::size_t count = this->head_left.copy(into, size);
+            this->head_left.remove_prefix(count);
+            return static_cast<ssize_t>(count);
+        }
+        const long count = this->run.reader.read_body(into, size);
+        this->run.ended = count == 0;
+        return count;
+    }
+
+private:
+    bool deliver_head()
+    {
+        const auto head = this->run.reader.read_head();
+        if (!head) {
+            return false;
+        }
+        this->run.head_delivered = true;
+        const bool has_body =
+            head->status != 204 && head->status != 304 && this->run.request.method != "HEAD";
+        this->head_left = has_body ? plain_head : bodiless_head;
+        this->run.ended = !has_body;
+        this->run.cancelled = !this->run.receiver.on_head(*head);
+        return !this->run.cancelled;
+    }
+
+    Run& run;
+    std::string_view head_left;
+    bool written = false;
+};
+
+} // namespace
+
+upstream_connection::upstream_connection(const std::string& host, int port)
+    : httplib::ClientImpl(host, port)
+{
+    this->set_keep_alive(true);
+    this->set_tcp_nodelay(true);
+    this->set_url_encode(false);
+    this->set_decompress(false);
+    this->set_follow_location(false);
+}
+
+exchange_result upstream_connection::exchange(const outbound_request& outbound,
+                                              answer_receiver& receiver)
+{
+    running_exchange run{outbound, receiver};
+    this->current = &run;
+    this->reusable = false;
+    const auto left =
+        std::chrono::ceil<std::chrono::milliseconds>(outbound.deadline - boot_clock::now());
+    this->set_connection_timeout(
+        std::clamp(left, std::chrono::milliseconds{1}, outbound.connect_timeout));
+    httplib::Request request;
+    request.method = outbound.method;
+    request.path = outbound.target;
+    request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t,
+                                   std::uint64_t) {
+        run.cancelled = !receiver.on_body({data, size});
+        return !run.cancelled;
+    };
+    httplib::Response response;
+    httplib::Error error = httplib::Error::Success;
+    const bool succeeded = this->send(request, response, error);
+    exchange_result result = this->conclude(run, succeeded);
+    result.reused = std::exchange(this->used, true);
+    this->reusable = result.end == exchange_end::complete && run.reader.is_reusable() &&
+                     this->is_socket_open() != 0;
+    this->current = nullptr;
+    return result;
+}
+
+bool upstream_connection::connect(std::chrono::milliseconds timeout)
+{
+    this->set_connection_timeout(timeout);
+    httplib::Error error = httplib::Error::Success;
+    const std::scoped_lock lock{this->socket_mutex_};
+    if (!this->socket_.is_open() && !this->create_and_connect_socket(this->socket_, error)) {
+        return false;
+    }
+    this->shutdown_socket(this->socket_);
+    this->close_socket(this->socket_);
+    return true;
+}
+
+exchange_result upstream_connection::conclude(const running_exchange& run, bool succeeded) const
+{
+    exchange_result result;
+    result.sent = run.sent;
+    if (run.cancelled || this->interrupted) {
+        result.end = exchange_end::cancelled;
+        result.detail = "the exchange was cancelled";
+    }
+    else if (run.timed_out) {
+        result.end = exchange_end::timed_out;
+        result.detail = run.head_delivered ? "the answer made no progress" : "no answer in time";
+    }
+    else if (!run.reader.fault().empty()) {
+        result.end = exchange_end::invalid_answer;
+        result.detail = run.reader.fault();
+    }
+    else if (succeeded && run.ended) {
+        result.end = exchange_end::complete;
+    }
+    else {
+        result.end = run.sent ? exchange_end::broken : exchange_end::connect_failed;
+        result.detail = !run.sent            ? "no connection"
+                        : run.head_delivered ? "the answer was cut short"
+                                             : "the connection broke before the answer";
+    }
+    return result;
+}
+
+bool upstream_connection::process_socket(const Socket& opened,
+                                         std::function<bool(httplib::Stream&)> callback)
+{
+    if (!this->open(opened.sock)) {
+        return false;
+    }
+    this->current->descriptor = opened.sock;
+    answer_stream<running_exchange> stream{*this->current};
+    const bool succeeded = callback(stream);
+    this->release();
+    return succeeded;
+}
+
+bool upstream_connection::open(int opened)
+{
+    const std::scoped_lock lock{this->descriptor_mutex};
+    this->descriptor = opened;
+    return !this->interrupted;
+}
+
+void upstream_connection::release()
+{
+    const std::scoped_lock lock{this->descriptor_mutex};
+    this->descriptor = -1;
+}
+
+void upstream_connection::interrupt()
+{
+    const std::scoped_lock lock{this->descriptor_mutex};
+    this->interrupted = true;
+    if (this->descriptor >= 0) {
+        shutdown(this->descriptor, SHUT_RDWR);
+    }
+}
+
+bool upstream_connection::is_quiet() const
+{
+    pollfd entry{this->socket(), POLLIN, 0};
+    return entry.fd >= 0 && poll(&entry, 1, 0) == 0;
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/node/announcements.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "node/simple_gates.hpp"
+
+#include <optional>
+#include <string>
+
+namespace dragonflyroad {
+
+/// Parses the body of POST /v1/upstreams.
+std::optional<announced_upstream> parse_announcement(const std::string& body);
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/node/forwarder.cpp
@@ -0,0 +1,295 @@
+#include "node/forwarder.hpp"
+
+#include "adapters/log.hpp"
+#include "core/failure.hpp"
+#include "node/answer_relay.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace dragonflyroad {
+namespace {
+
+/// How long an upstream whose connection broke may take to accept another one.
+constexpr std::chrono::milliseconds crash_probe_timeout{200};
+
+std::string_view to_text(exchange_end end)
+{
+    switch (end) {
+    case exchange_end::complete:
+        return "complete";
+    case exchange_end::connect_failed:
+        return "connect_failed";
+    case exchange_end::timed_out:
+        return "timed_out";
+    case exchange_end::broken:
+        return "broken";
+    case exchange_end::invalid_answer:
+        return "invalid_answer";
+    case exchange_end::cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+attempt_outcome classify(const exchange_result& result, const answer_relay& relay)
+{
+    if (relay.is_not_run() && result.end != exchange_end::connect_failed) {
+        return attempt_outcome::not_run;
+    }
+    switch (result.end) {
+    case exchange_end::complete:
+        return relay.status() >= 500 ? attempt_outcome::server_error : attempt_outcome::success;
+    case exchange_end::connect_failed:
+        return attempt_outcome::connect_failed;
+    case exchange_end::timed_out:
+        return attempt_outcome::timed_out;
+    case exchange_end::cancelled:
+        return attempt_outcome::cancelled;
+    case exchange_end::broken:
+    case exchange_end::invalid_answer:
+        break;
+    }
+    return attempt_outcome::broken;
+}
+
+bool is_set_by_node(const std::string& name)
+{
+    constexpr std::array names{"Authorization", "X-Organisation", "X-Request-Id", "X-Deadline-Ms"};
+    return std::ranges::any_of(
+        names, [&](std::string_view known) { return equal_ignoring_case(known, name); });
+}
+
+std::int64_t milliseconds_until(time_point time)
+{
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(time - boot_clock::now());
+    return std::max<std::int64_t>(left.count(), 0);
+}
+
+} // namespace
+
+struct forwarder::attempt {
+    upstream_place place;
+    exchange_result result;
+    attempt_outcome outcome = attempt_outcome::connect_failed;
+    int status = 0;
+    bool lost_client = false;
+    bool needs_fresh_connection = false;
+
+    bool is_answered() const
+    {
+        return this->outcome == attempt_outcome::success ||
+               this->outcome == attempt_outcome::server_error;
+    }
+
+    attempt_failure failure() const
+    {
+        if (this->outcome == attempt_outcome::not_run) {
+            return attempt_failure::not_run;
+        }
+        switch (this->result.end) {
+        case exchange_end::complete:
+            return attempt_failure::answered;
+        case exchange_end::connect_failed:
+            return attempt_failure::connect_failed;
+        case exchange_end::timed_out:
+            return attempt_failure::timed_out;
+        case exchange_end::broken:
+        case exchange_end::invalid_answer:
+        case exchange_end::cancelled:
+            break;
+        }
+        return this->result.reused && this->status == 0 ? attempt_failure::stale_connection
+                                                        : attempt_failure::broken;
+    }
+
+    refusal_reason reason(time_point deadline) const
+    {
+        if (this->outcome == attempt_outcome::not_run) {
+            return refusal_reason::upstream_refused;
+        }
+        if (boot_clock::now() >= deadline) {
+            return refusal_reason::deadline_exceeded;
+        }
+        return this->outcome == attempt_outcome::connect_failed
+                   ? refusal_reason::no_healthy_upstream
+                   : refusal_reason::upstream_failed;
+    }
+};
+
+forwarder::forwarder(std::shared_ptr<transport> connections, gates choices, metrics& counts)
+    : carrier(std::move(connections)), decisions(std::move(choices)), counters(counts)
+{
+}
+
+std::optional<refusal> forwarder::forward(request_context& context)
+{
+    std::vector<upstream_id> tried;
+    refusal failed{refusal_reason::no_healthy_upstream, ran::no, "", {}, 0, {}};
+    this->decisions.retries->note_request({context.service, context.tenant->id}, *context.rules);
+    bool needs_fresh_connection = false;
+    for (std::uint32_t attempts = 1;; ++attempts) {
+        refusal_reason why = refusal_reason::no_healthy_upstream;
+        auto place = this->acquire(context, tried, why);
+        if (!place) {
+            // After a failed attempt its reason says more than the lack of a further upstream.
+            failed.reason = attempts == 1 ? why : failed.reason;
+            break;
+        }
+        attempt current;
+        current.place = std::move(*place);
+        current.needs_fresh_connection = needs_fresh_connection;
+        this->run(context, current);
+        if (current.is_answered() || context.exchange.has_sent()) {
+            this->end_answer(context, current);
+            return std::nullopt;
+        }
+        failed.reason = current.reason(context.deadline);
+        failed.detail = current.result.detail;
+        const auto again = this->may_retry(context, current, attempts);
+        if (!again) {
+            break;
+        }
+        needs_fresh_connection = *again == retry_reason::stale_connection;
+        if (!needs_fresh_connection) {
+            tried.push_back(current.place.upstream);
+        }
+    }
+    failed.executed = context.executed;
+    if (failed.executed == ran::no) {
+        failed.retry_after = std::chrono::seconds{1};
+    }
+    return failed;
+}
+
+std::optional<upstream_place> forwarder::acquire(const request_context& context,
+                                                 const std::vector<upstream_id>& tried,
+                                                 refusal_reason& why)
+{
+    place_request wanted;
+    wanted.service = context.service;
+    wanted.organisation = context.tenant->id;
+    wanted.weight = context.tenant->weight;
+    wanted.fingerprint = context.fingerprint;
+    wanted.is_repeatable = context.is_repeatable;
+    wanted.excluded = tried;
+    wanted.deadline = std::min(context.deadline, boot_clock::now() + context.rules->queue_timeout);
+    return this->decisions.upstreams->acquire(wanted, why);
+}
+
+outbound_request forwarder::build_request(const request_context& context) const
+{
+    const request_head& head = context.exchange.head();
+    outbound_request request;
+    request.method = head.method;
+    request.target = head.target;
+    request.headers = end_to_end_headers(head.headers);
+    std::erase_if(request.headers,
+                  [](const http_header& header) { return is_set_by_node(header.name); });
+    request.headers.push_back({"X-Organisation", context.tenant->id.value});
+    request.headers.push_back(
+        {"X-Deadline-Ms", std::to_string(milliseconds_until(context.deadline))});
+    request.headers.push_back({"X-Request-Id", context.id});
+    request.body = context.body;
+    request.deadline = context.deadline;
+    request.idle_timeout = context.rules->idle_timeout;
+    request.is_unsafe = !context.is_repeatable;
+    return request;
+}
+
+void forwarder::run(request_context& context, attempt& current)
+{
+    answer_relay relay{context.exchange, context.id,
+                       [&] { this->decisions.upstreams->first_byte(current.place); }};
+    outbound_request request = this->build_request(context);
+    request.needs_fresh_connection =
+        current.needs_fresh_connection || current.place.needs_fresh_connection;
+    cancellation cancel;
+    const time_point began = boot_clock::now();
+    current.result = this->carrier->exchange(current.place.upstream, request, relay, cancel);
+    context.upstream_time += boot_clock::now() - began;
+    current.outcome = classify(current.result, relay);
+    current.status = relay.status();
+    if (current.is_answered()) {
+        relay.finish();
+    }
+    current.lost_client = relay.has_lost_client();
+    this->attribute(context, current);
+    this->decisions.upstreams->finish(current.place, current.outcome, current.result.reused);
+    this->account(context, current);
+}
+
+/// Tells a crash that the request causes from a failure of the upstream.
+void forwarder::attribute(request_context& context, attempt& current)
+{
+    if (current.outcome != attempt_outcome::broken || !current.result.sent) {
+        return;
+    }
+    const upstream_id& upstream = current.place.upstream;
+    if (this->carrier->can_connect(upstream, crash_probe_timeout)) {
+        return;
+    }
+    const time_point now = boot_clock::now();
+    context.has_crashed = true;
+    if (this->decisions.crash->is_suspect(context.fingerprint, upstream, now)) {
+        current.outcome = attempt_outcome::request_fault;
+    }
+    this->decisions.crash->note(context.fingerprint, upstream, now);
+    context.steps.push_back(fmt::format("crashed={}", upstream.value));
+}
+
+void forwarder::account(request_context& context, const attempt& current)
+{
+    if (current.is_answered()) {
+        context.executed = ran::yes;
+    }
+    else if (current.result.sent && current.outcome != attempt_outcome::not_run) {
+        context.executed = ran::unknown;
+    }
+    context.steps.push_back(fmt::format(
+        "upstream={} end={} status={} sent={} reused={} detail={}", current.place.upstream.value,
+        current.outcome == attempt_outcome::not_run ? "not_run" : to_text(current.result.end),
+        current.status, current.result.sent, current.result.reused, current.result.detail));
+}
+
+/// Counts an answer that has gone to the client. One that is not whole ends its connection.
+void forwarder::end_answer(request_context& context, const attempt& current)
+{
+    if (current.is_answered() && !current.lost_client) {
+        this->counters.count_answer(current.status);
+        return;
+    }
+    context.exchange.close();
+    if (current.lost_client) {
+        this->counters.count_lost_client();
+        context.steps.emplace_back("the client stopped taking the answer");
+        return;
+    }
+    this->counters.count_cut_answer();
+    log_line{"answer_cut"}
+        .add("id", context.id)
+        .add("service", context.service.value)
+        .add("upstream", current.place.upstream.value)
+        .add("detail", current.result.detail);
+}
+
+std::optional<retry_reason> forwarder::may_retry(request_context& context, const attempt& current,
+                                                 std::uint32_t attempts)
+{
+    const retry_limits limits{context.is_repeatable, context.rules->max_attempts, context.deadline};
+    const failed_attempt failed{current.failure(), current.result.sent, false};
+    const auto reason = this->decisions.retries->may_retry(
+        {context.service, context.tenant->id}, limits, attempts, failed, boot_clock::now());
+    if (!reason) {
+        context.steps.push_back("no_retry=" + last_failure().detail);
+        return std::nullopt;
+    }
+    this->counters.count_retry(*reason);
+    context.steps.push_back(fmt::format("retry={}", to_code(*reason)));
+    return reason;
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/node/simple_gates.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "node/gates.hpp"
+
+#include <map>
+#include <mutex>
+#include <unordered_map>
+
+namespace dragonflyroad {
+
+/// An upstream as announced to this node.
+struct announced_upstream {
+    upstream_id id;
+    service_name service;
+    std::uint32_t slots = 1;
+    bool draining = false;
+};
+
+/// Gates that decide from this process alone, for tests of the request path and until the decision
+/// modules are joined to it.
+
+class always_current : public freshness_gate {
+public:
+    proof_state state(time_point) override { return proof_state::current; }
+};
+
+class local_rates : public rate_gate {
+public:
+    rate_verdict admit(const organisation& limits, time_point deadline) override;
+
+private:
+    struct bucket {
+        double tokens = 0;
+        time_point filled;
+    };
+    std::mutex mutex;
+    std::unordered_map<organisation_id, bucket> buckets;
+};
+
+class local_claims : public claim_gate {
+public:
+    claim_decision claim(const claim_subject& key, std::chrono::milliseconds repeat_window,
+                         time_point deadline) override;
+    void complete(const claim_subject& key, ran executed) override;
+
+private:
+    std::mutex mutex;
+    std::map<std::string, claim_decision> claims;
+};
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/standin/store_main.cpp
@@ -0,0 +1,45 @@
+#include "adapters/command_line.hpp"
+#include "adapters/log.hpp"
+#include "core/failure.hpp"
+#include "standin/stop_signal.hpp"
+#include "standin/store.hpp"
+
+#include <string>
+
+#include <fmt/core.h>
+
+using namespace dragonflyroad;
+
+int main(int argc, char** argv)
+{
+    CLI::App app{"A small stand-in for the platform's store, with faults for tests"};
+    std::string address = "127.0.0.1:0";
+    bool check = false;
+    app.set_version_flag("--version", "0.1.0");
+    app.add_option("--address", address, "ip:port to listen on; port 0 takes any");
+    app.add_flag("--check", check, "validate the command line and exit");
+    if (const auto code = parse_command_line(app, argc, argv)) {
+        return *code;
+    }
+    if (!parse_address(address)) {
+        fmt::print(stderr, "--address: found {}; allowed: ip:port with a numeric IP address\n",
+                   address);
+        return exit_usage;
+    }
+    if (check) {
+        return exit_done;
+    }
+    standin::block_stop_signals();
+    standin::store_server server;
+    if (!server.start(address)) {
+        log_line{"start_failed"}
+            .add("peer", last_failure().peer)
+            .add("detail", last_failure().detail);
+        return exit_failed;
+    }
+    log_line{"store_started"}.add("address", server.address().to_text());
+    standin::wait_for_stop_signal();
+    server.stop();
+    log_line{"store_stopped"}.add("address", server.address().to_text());
+    return exit_done;
+}
