Take no seat when a test decides on rates

A node whose rate gate is replaced no longer takes a seat. 24 of 24 error test cases of the request path, drain and rights now pass in 10.5 s (before: cut off).

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -86,6 +86,8 @@
     std::atomic<bool> has_methods = false;
     std::unique_ptr<http_server> peer_server;
     std::shared_ptr<fleet_rights> quota;
+    /// False when a test decides on rates; the node then takes no seat.
+    bool uses_quota = true;
     pipeline requests;
     admin_port admin;
     config_controller config;
@@ -103,6 +105,7 @@
 gates node::parts::complete(gates decisions)
 {
     fill_in(decisions.freshness, std::make_shared<always_current>());
+    this->uses_quota = decisions.rate == nullptr;
     fill_in(decisions.rate, this->quota);
     fill_in(decisions.crash, this->crashes);
     fill_in(decisions.claims, std::make_shared<local_claims>());
@@ -219,7 +222,9 @@
 
 void node::parts::start_controllers()
 {
-    this->quota->start();
+    if (this->uses_quota) {
+        this->quota->start();
+    }
     this->config_task = std::make_unique<periodic_task>([this] { return this->config.follow(); });
     this->routing_task = std::make_unique<periodic_task>([this] {
         this->evaluate_upstreams();
@@ -314,7 +319,9 @@
     own.board.phase = node_phase::stopping;
     own.wait_until_idle();
     own.caller_server->stop();
-    own.quota->stop(boot_clock::now() + seat_leave_time);
+    if (own.uses_quota) {
+        own.quota->stop(boot_clock::now() + seat_leave_time);
+    }
     own.config_task->stop();
     own.routing_task->stop();
     own.members.stop();
--- a/test/support/raw_socket.cpp
+++ b/test/support/raw_socket.cpp
@@ -37,8 +37,11 @@
 {
     const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in bound = loopback(0);
-    bind(listener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound));
-    listen(listener, 64);
+    if (bind(listener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) != 0 ||
+        listen(listener, 64) != 0) {
+        close(listener);
+        return -1;
+    }
     socklen_t size = sizeof(bound);
     getsockname(listener, reinterpret_cast<sockaddr*>(&bound), &size);
     address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
