Edit compact records through update() instead of a proxy

Change: compact_table loses operator[] and its proxy; insert_or_assign and update() stay. Conclusion: one way to edit a record, and it cannot outlive the table.

--- a/bench/config_memory.cpp
+++ b/bench/config_memory.cpp
@@ -21,14 +21,14 @@
 void add_organisation(configuration& config, std::size_t number)
 {
     const organisation_id id{fmt::format("org{:07}", number)};
-    config.organisations[id] = organisation{id, 100.0 + static_cast<double>(number % 7), 20, 1};
+    config.organisations.insert_or_assign(id, organisation{id, 100.0 + static_cast<double>(number % 7), 20, 1});
 }
 
 void add_key(configuration& config, std::size_t number)
 {
     const organisation_id id{fmt::format("org{:07}", number)};
     const std::string digest = sha256_hex(fmt::format("key {}", number));
-    config.keys[digest] = key_record{digest, id, key_state::granted};
+    config.keys.insert_or_assign(digest, key_record{digest, id, key_state::granted});
 }
 
 void add_route(configuration& config, std::size_t number)
--- a/src/config/compact_table.hpp
+++ b/src/config/compact_table.hpp
@@ -72,30 +72,6 @@
         std::optional<value_type> value;
     };
 
-    /// What `table[key]` gives: the record, which is packed again at the end of the expression, so
-    /// that it and its members can be assigned. A missing record is created.
-    class writable_record : public mapped_type {
-    public:
-        writable_record(compact_table& owner, key_type target)
-            : mapped_type(owner.find_or_default(target)), table(owner), key(std::move(target))
-        {
-        }
-        writable_record(const writable_record&) = delete;
-        writable_record& operator=(const writable_record&) = delete;
-        writable_record(writable_record&&) = delete;
-        writable_record& operator=(writable_record&&) = delete;
-        ~writable_record() { this->table.insert_or_assign(this->key, *this); }
-        writable_record& operator=(const mapped_type& record)
-        {
-            static_cast<mapped_type&>(*this) = record;
-            return *this;
-        }
-
-    private:
-        compact_table& table;
-        key_type key;
-    };
-
     const_iterator begin() const { return {this, 0, 0}; }
     const_iterator end() const { return {this, this->shards.size(), 0}; }
 
@@ -127,7 +103,14 @@
     std::size_t size() const { return this->count; }
     bool empty() const { return this->count == 0; }
 
-    writable_record operator[](const key_type& key) { return {*this, key}; }
+    /// Unpacks the record (a new one when there is none), lets `change` edit it and packs it again.
+    template<typename Change>
+    void update(const key_type& key, const Change& change)
+    {
+        mapped_type record = this->find_or_default(key);
+        change(record);
+        this->insert_or_assign(key, record);
+    }
 
     void emplace(const key_type& key, const mapped_type& record)
     {
--- a/src/node/head_reader.cpp
+++ b/src/node/head_reader.cpp
@@ -45,7 +45,7 @@
         entry.rate = item.at("rate").get<double>();
         entry.burst = item.at("burst").get<double>();
         entry.weight = item.value("weight", 1.0);
-        config.organisations[entry.id] = entry;
+        config.organisations.insert_or_assign(entry.id, entry);
     }
     for (const json& item : root.value("keys", json::array())) {
         key_record entry;
@@ -53,7 +53,7 @@
         entry.organisation = organisation_id{item.at("organisation").get<std::string>()};
         entry.state =
             item.value("state", "granted") == "granted" ? key_state::granted : key_state::withdrawn;
-        config.keys[entry.digest] = entry;
+        config.keys.insert_or_assign(entry.digest, entry);
     }
 }
 
--- a/test/correctness/test_compact_table.cpp
+++ b/test/correctness/test_compact_table.cpp
@@ -43,9 +43,10 @@
 {
     configuration config;
     const std::string digest = sha256_hex("key");
-    config.keys[digest] = key_record{digest, organisation_id{"o"}, key_state::granted};
+    config.keys.insert_or_assign(digest,
+                                 key_record{digest, organisation_id{"o"}, key_state::granted});
     CHECK(config.keys.at(digest).digest == digest);
-    config.keys[digest].state = key_state::withdrawn;
+    config.keys.update(digest, [](key_record& record) { record.state = key_state::withdrawn; });
     CHECK(config.keys.at(digest).state == key_state::withdrawn);
     CHECK(config.keys.at(digest).organisation.value == "o");
     CHECK(config.keys.find(sha256_hex("other")) == config.keys.end());
--- a/test/error/test_fleet_rights.cpp
+++ b/test/error/test_fleet_rights.cpp
@@ -17,7 +17,8 @@
     constexpr double burst = 10;
     test_node first;
     first.decisions.rate = nullptr;
-    first.config.organisations[organisation_id{"acme"}] = {organisation_id{"acme"}, rate, burst, 1};
+    first.config.organisations.insert_or_assign(organisation_id{"acme"},
+                                                {organisation_id{"acme"}, rate, burst, 1});
     const time_point began = boot_clock::now();
     first.start();
     test_node second;
--- a/test/error/test_key_withdrawal.cpp
+++ b/test/error/test_key_withdrawal.cpp
@@ -31,7 +31,8 @@
     CHECK(client.exchange(request_text("GET", "/marks/1")).status == 200);
     waiting.send(request_text("GET", "/marks/held"));
     arrived.get_future().wait();
-    fleet.config.keys[sha256_hex("acme-key")].state = key_state::withdrawn;
+    fleet.config.keys.update(sha256_hex("acme-key"),
+                             [](key_record& record) { record.state = key_state::withdrawn; });
     fleet.publish();
     const auto refused = client.exchange(request_text("GET", "/marks/1"));
     CHECK(refused.status == 401);
--- a/test/error/test_upstream_states.cpp
+++ b/test/error/test_upstream_states.cpp
@@ -79,7 +79,8 @@
 {
     fake_upstream upstream{answer_ok};
     test_node fleet;
-    fleet.config.organisations[organisation_id{"acme"}] = {organisation_id{"acme"}, 0, 2, 1};
+    fleet.config.organisations.insert_or_assign(organisation_id{"acme"},
+                                                {organisation_id{"acme"}, 0, 2, 1});
     fleet.start();
     fleet.announce(upstream.address());
     raw_client client{fleet.caller()};
--- a/test/support/test_node.cpp
+++ b/test/support/test_node.cpp
@@ -111,9 +111,11 @@
                                                     profile_name{"standard"}};
     this->config.routes[route_name{"marks"}] = {
         route_name{"marks"}, "/marks", service_name{"marks"}, {}};
-    this->config.organisations[organisation_id{"acme"}] = {organisation_id{"acme"}, 1000, 1000, 1};
+    this->config.organisations.insert_or_assign(organisation_id{"acme"},
+                                                {organisation_id{"acme"}, 1000, 1000, 1});
     const std::string digest = sha256_hex("acme-key");
-    this->config.keys[digest] = {digest, organisation_id{"acme"}, key_state::granted};
+    this->config.keys.insert_or_assign(digest,
+                                       {digest, organisation_id{"acme"}, key_state::granted});
     this->decisions.rate = std::make_shared<local_rates>();
     this->settings.id = node_id{"node-1"};
     this->settings.centre = data_centre{"dc-1"};
