--- a/bench/model/fleet_model.hpp
+++ b/bench/model/fleet_model.hpp
@@ -89,6 +89,8 @@
     explicit fleet_model(const scenario& given);
     fleet_model(const fleet_model&) = delete;
     fleet_model& operator=(const fleet_model&) = delete;
+    fleet_model(fleet_model&&) = delete;
+    fleet_model& operator=(fleet_model&&) = delete;
     ~fleet_model() = default;
 
     run_counts run(const observer& observe);
--- a/bench/model/router.hpp
+++ b/bench/model/router.hpp
@@ -48,6 +48,8 @@
     virtual ~router() = default;
     router(const router&) = delete;
     router& operator=(const router&) = delete;
+    router(router&&) = delete;
+    router& operator=(router&&) = delete;
 
     virtual void announce(std::size_t upstream, const upstream_announcement& announcement,
                           time_point now) = 0;
--- a/src/routing/ejection.cpp
+++ b/src/routing/ejection.cpp
@@ -1,9 +1,9 @@
 #include "routing/ejection.hpp"
 
 #include "routing/concurrency_limit.hpp"
+#include "routing/service_comparison.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace dragonflyroad {
 namespace {
@@ -19,7 +19,6 @@
 constexpr double calm_suspicion = 1;
 constexpr std::uint32_t probes_needed = 5;
 constexpr std::uint32_t probes_bad_allowed = 1;
-constexpr duration evidence_lifetime = 2s;
 // When no peer has anything to say for this long, none of them uses the upstream.
 constexpr duration peer_silence = 2s;
 // Suspicion from which further requests are sent to verify it: one bad request of a service that is
@@ -27,11 +26,6 @@
 constexpr double suspicion_to_verify = 2.5;
 // Upstreams that queued much recover later than the others.
 constexpr duration slow_service_hold = 2s;
-// More than one bad request of a service that is rarely bad.
-constexpr double suspicion_of_slow_service = 4.5;
-constexpr double slow_service_share = 1.0 / 3;
-constexpr double sound_peers_share = 2.0 / 3;
-constexpr double suspicion_worth_telling = 4;
 // Verifications on their way at once, and overdue ones included. Each node sends its own: more
 // would fill the queue of a sound upstream with three slots and make it look bad.
 constexpr std::uint32_t verifications_at_once = 2;
@@ -39,103 +33,22 @@
 constexpr duration verification_pause = 200ms;
 constexpr std::size_t largest_evidence_list = 16;
 constexpr double default_floor = 0.5;
-
-bool is_ready(const upstream_assessment& seen)
-{
-    return seen.upstream->state.load() == upstream_state::ready;
-}
-
-bool looks_bad(const upstream_assessment& seen)
-{
-    return seen.suspicion >= suspicion_of_slow_service ||
-           seen.upstream->step.load() == ejection_step::ejected ||
-           seen.upstream->step.load() == ejection_step::probation;
-}
+// Share of all upstreams, over several services, from which the fault is this node's own.
+constexpr double suspect_node_share = 1.0 / 3;
 
 } // namespace
 
-ejection_controller::peer_opinion ejection_controller::ask_peers(const record& known,
-                                                                 time_point since, time_point now)
-{
-    peer_opinion opinion;
-    for (const auto& [peer, evidence] : known.peers) {
-        if (now - evidence.as_of > evidence_lifetime || evidence.as_of < since) {
-            continue;
-        }
-        if (evidence.suspicion >= suspicion_to_reduce) {
-            ++opinion.bad;
-        }
-        else if (evidence.good >= 2 && evidence.suspicion < suspicion_worth_telling) {
-            ++opinion.good;
-        }
-    }
-    return opinion;
-}
-
-bool ejection_controller::is_service_slow(const round& current) const
-{
-    double ready = 0;
-    double bad = 0;
-    for (const upstream_assessment& seen : current.assessments) {
-        if (is_ready(seen)) {
-            ready += 1;
-            bad += looks_bad(seen) ? 1 : 0;
-        }
-    }
-    return bad > ready * slow_service_share;
-}
-
-// Whether most other upstreams have answered a request that began after the first bad one: only
-// then is there something to compare with. Without it, the first of many upstreams to look slow
-// would be taken out at the start of a slowdown of the whole service.
-bool ejection_controller::peers_are_sound(const round& current, const upstream_assessment& seen)
-{
-    double used = 0;
-    double sound = 0;
-    for (const upstream_assessment& other : current.assessments) {
-        if (other.upstream == seen.upstream || !is_ready(other) ||
-            other.upstream->step.load() == ejection_step::ejected) {
-            continue;
-        }
-        const bool is_sound = other.suspicion < suspicion_to_reduce &&
-                              other.upstream->statistics.last_good_start() > seen.bad_since;
-        if (is_sound || other.suspicion > 0 || other.upstream->in_flight.load() > 0) {
-            used += 1;
-            sound += is_sound ? 1 : 0;
-        }
-    }
-    return sound > 0 && sound >= used * sound_peers_share;
-}
-
-double ejection_controller::unsuspected_share(const round& current, const upstream_entry* without)
-{
-    double announced = 0;
-    double unsuspected = 0;
-    for (const upstream_assessment& seen : current.assessments) {
-        if (!is_ready(seen)) {
-            continue;
-        }
-        const double slots = seen.upstream->slots.load();
-        announced += slots;
-        if (seen.upstream.get() != without &&
-            seen.upstream->step.load() == ejection_step::healthy) {
-            unsuspected += slots;
-        }
-    }
-    return announced > 0 ? unsuspected / announced : 1;
-}
-
 bool ejection_controller::may_eject(round& current, const upstream_assessment& seen)
 {
     if (current.state.is_slow || this->node_suspect) {
         this->veto(ejection_veto::service_slow);
         return false;
     }
-    if (!peers_are_sound(current, seen)) {
+    if (!peers_are_sound(current.assessments, seen)) {
         this->veto(ejection_veto::peers_uncertain);
         return false;
     }
-    if (unsuspected_share(current, seen.upstream.get()) < current.floor) {
+    if (unsuspected_share(current.assessments, seen.upstream.get()) < current.floor) {
         this->veto(ejection_veto::floor);
         return false;
     }
@@ -188,7 +101,7 @@
 void ejection_controller::update_scope(const upstream_assessment& seen, record& known,
                                        time_point now)
 {
-    const peer_opinion opinion = ask_peers(known, seen.bad_since, now);
+    const peer_opinion opinion = weigh_evidence(known.peers, seen.bad_since, now);
     const bool is_alone = this->reachable_peers == 0 || now - known.step_since > peer_silence;
     if (opinion.bad > opinion.good ||
         (is_alone && opinion.good == 0 && known.scope == fault_scope::none)) {
@@ -221,7 +134,7 @@
     known.probes_bad += seen.bad;
     if (known.probes_bad + seen.overdue > probes_bad_allowed ||
         seen.suspicion >= suspicion_to_reduce) {
-        if (unsuspected_share(current, seen.upstream.get()) >= current.floor) {
+        if (unsuspected_share(current.assessments, seen.upstream.get()) >= current.floor) {
             this->eject(current, seen, known);
         }
         else {
@@ -245,11 +158,11 @@
     // An ordinary response settles the suspicion unless a fresh connection hangs as well.
     const bool is_answered = seen.overdue_fresh == 0 &&
                              now - known.last_good < verification_pause &&
-                             seen.upstream->statistics.last_good_start() >= seen.bad_since;
+                             seen.upstream->statistics.last_good_start() >= seen.episode_since;
     const bool is_wanted =
         is_rotating && !is_answered &&
         (seen.suspicion >= suspicion_to_verify || known.step == ejection_step::reduced ||
-         ask_peers(known, now - evidence_lifetime, now).bad > 0);
+         weigh_evidence(known.peers, now - evidence_lifetime, now).bad > 0);
     seen.upstream->verify_fresh.store(is_wanted || known.step == ejection_step::probation);
     // All three may come from one organisation; two more are then likely to come from another.
     const std::uint32_t allowed = seen.suspicion >= suspicion_to_eject && !seen.is_conclusive
@@ -353,7 +266,7 @@
 
 void ejection_controller::tick_service(round& current)
 {
-    if (this->is_service_slow(current)) {
+    if (is_service_slow(current.assessments)) {
         current.state.slow_until = current.now + slow_service_hold;
     }
     current.state.is_slow = current.now < current.state.slow_until;
@@ -402,7 +315,7 @@
         bad += static_cast<double>(bad_here);
         services_bad += bad_here > 0 ? 1 : 0;
     }
-    this->node_suspect = services_bad >= 2 && bad > ready * slow_service_share;
+    this->node_suspect = services_bad >= 2 && bad > ready * suspect_node_share;
     for (round& current : rounds) {
         this->tick_service(current);
         changes.insert(changes.end(), current.changes.begin(), current.changes.end());
--- a/src/routing/ejection.hpp
+++ b/src/routing/ejection.hpp
@@ -108,11 +108,6 @@
         std::uint32_t preferred = 0;
     };
 
-    struct peer_opinion {
-        std::uint32_t bad = 0;
-        std::uint32_t good = 0;
-    };
-
     /// One service during one tick.
     struct round {
         service_state& state;
@@ -134,10 +129,6 @@
     void update_scope(const upstream_assessment& seen, record& known, time_point now);
     void move(round& current, const upstream_assessment& seen, record& known, ejection_step step);
     bool may_eject(round& current, const upstream_assessment& seen);
-    bool is_service_slow(const round& current) const;
-    static bool peers_are_sound(const round& current, const upstream_assessment& seen);
-    static double unsuspected_share(const round& current, const upstream_entry* without);
-    static peer_opinion ask_peers(const record& known, time_point since, time_point now);
     void veto(ejection_veto reason) { ++this->veto_counts.at(static_cast<std::size_t>(reason)); }
 
     node_id self;
--- /dev/null
+++ b/src/routing/ejection_evidence.cpp
@@ -0,0 +1,25 @@
+#include "routing/ejection_evidence.hpp"
+
+#include "routing/outlier_detector.hpp"
+
+namespace dragonflyroad {
+
+peer_opinion weigh_evidence(const std::map<node_id, ejection_evidence>& peers, time_point since,
+                            time_point now)
+{
+    peer_opinion opinion;
+    for (const auto& [peer, evidence] : peers) {
+        if (now - evidence.as_of > evidence_lifetime || evidence.as_of < since) {
+            continue;
+        }
+        if (evidence.suspicion >= suspicion_to_reduce) {
+            ++opinion.bad;
+        }
+        else if (evidence.good >= 2 && evidence.suspicion < suspicion_worth_telling) {
+            ++opinion.good;
+        }
+    }
+    return opinion;
+}
+
+} // namespace dragonflyroad
--- a/src/routing/ejection_evidence.hpp
+++ b/src/routing/ejection_evidence.hpp
@@ -5,6 +5,7 @@
 #include "routing/ejection_step.hpp"
 
 #include <cstdint>
+#include <map>
 
 namespace dragonflyroad {
 
@@ -25,4 +26,19 @@
     time_point as_of;
 };
 
+/// Evidence older than this is ignored.
+constexpr duration evidence_lifetime = std::chrono::seconds{2};
+/// Suspicion from which a node tells its peers.
+constexpr double suspicion_worth_telling = 4;
+
+/// How many peers see an upstream as bad, and how many use it without trouble.
+struct peer_opinion {
+    std::uint32_t bad = 0;
+    std::uint32_t good = 0;
+};
+
+/// Counts the evidence that was true after `since` and is not too old.
+peer_opinion weigh_evidence(const std::map<node_id, ejection_evidence>& peers, time_point since,
+                            time_point now);
+
 } // namespace dragonflyroad
--- a/src/routing/outlier_detector.cpp
+++ b/src/routing/outlier_detector.cpp
@@ -22,6 +22,8 @@
 // Evidence from pooled connections alone stays below the ejection limit: it may be the fault of the
 // connections, which a fresh one shows.
 constexpr double largest_pooled_suspicion = 0.6 * suspicion_to_eject;
+// Above this, interrupted episodes count together.
+constexpr double persistent_suspicion = 22;
 constexpr std::size_t least_requests = 3;
 constexpr double samples_needed = 50;
 // Share of bad requests at a faulty upstream; a tenfold slowdown and a stall reach more.
@@ -218,11 +220,12 @@
     }
     else if (!known.is_suspected) {
         known.is_suspected = true;
+        known.suspected_since = now;
         // A request that has completed began at most a tick and a slow latency ago.
         known.bad_since = std::min(overdue.earliest, now);
     }
     // An ordinary response ends an episode of slow ones, though not the suspicion.
-    known.bad_since = std::max(known.bad_since, upstream->statistics.last_good_start());
+    known.episode_since = std::max(known.bad_since, upstream->statistics.last_good_start());
     std::uint64_t fingerprints = known.bad_fingerprints[0] | known.bad_fingerprints[1];
     for (const std::uint64_t fingerprint : overdue.fingerprints) {
         fingerprints |= to_bit(fingerprint);
@@ -237,9 +240,14 @@
         known.last_bad = std::max(known.last_bad, now - stick.slow_above);
     }
     known.last_bad = std::max(known.last_bad, overdue.latest);
+    // A slow upstream still gives an ordinary response now and then.
+    const bool is_persistent = result.suspicion >= persistent_suspicion &&
+                               now - known.suspected_since >= 4 * stick.least_span;
     result.is_conclusive =
         distinct >= least_requests && (std::popcount(organisations) >= 2 || !has_several) &&
-        result.fresh_suspicion > 0 && known.last_bad - known.bad_since >= stick.least_span;
+        result.fresh_suspicion > 0 &&
+        (known.last_bad - known.episode_since >= stick.least_span || is_persistent);
+    result.episode_since = known.episode_since;
     result.bad_since = known.is_suspected ? known.bad_since : now;
     result.verifying = overdue.verifying;
     result.overdue_fresh = overdue.overdue_fresh;
--- a/src/routing/outlier_detector.hpp
+++ b/src/routing/outlier_detector.hpp
@@ -41,6 +41,8 @@
     double recent_good = 0;
     /// Start of the earliest request that counts against the upstream.
     time_point bad_since;
+    /// The last ordinary response after that, or the same: start of the present episode.
+    time_point episode_since;
     bool has_shed = false;
 };
 
@@ -79,6 +81,8 @@
         time_point generation;
         time_point bad_since;
         time_point last_bad;
+        time_point episode_since;
+        time_point suspected_since;
         bool is_suspected = false;
     };
 
--- a/test/error/fleet_helpers.hpp
+++ b/test/error/fleet_helpers.hpp
@@ -7,21 +7,8 @@
 
 namespace dragonflyroad::bench {
 
-/// Share of announced upstreams of equal size that the node's decisions leave unsuspected.
-inline double unsuspected_share(const fleet_model& fleet, std::size_t node)
-{
-    double announced = 0;
-    double unsuspected = 0;
-    for (std::size_t upstream = 0; upstream < fleet.upstream_count(); ++upstream) {
-        if (fleet.is_announced(upstream)) {
-            announced += 1;
-            unsuspected += fleet.node(node).step(upstream) == ejection_step::healthy ? 1 : 0;
-        }
-    }
-    return announced > 0 ? unsuspected / announced : 1;
-}
-
-/// The share that is in rotation: neither ejected nor in probation.
+/// The share of announced upstreams, of equal size, that is in rotation: neither ejected nor in
+/// probation.
 inline double rotation_share(const fleet_model& fleet, std::size_t node)
 {
     double announced = 0;
