--- a/test/correctness/test_compact_table.cpp
+++ b/test/correctness/test_compact_table.cpp
@@ -19,7 +19,7 @@
         for (int step = 0; step < 2'000; ++step) {
             const organisation_id id{"o" + std::to_string(uniform_index(random, 400))};
             if (uniform(random) < 0.6) {
-                table[id] = organisation{id, static_cast<double>(step), 1, 1};
+                table.insert_or_assign(id, organisation{id, static_cast<double>(step), 1, 1});
                 expected[id.value] = step;
             }
             else {
