--- /dev/null
+++ b/bench/allocated_bytes.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstddef>
+#include <malloc.h>
+
+namespace dragonflyroad::bench {
+
+/// Bytes of the heap in use.
+inline std::size_t allocated_bytes()
+{
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+} // namespace dragonflyroad::bench
--- /dev/null
+++ b/bench/capacity.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "bench/record.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace dragonflyroad::bench {
+
+// Parts of other benchmarks at the sizes of the target scale, too long for CI's verdict. The
+// benchmark `capacity` collects them.
+
+std::vector<record> config_in_force_time_at_target(std::uint64_t seed);
+std::vector<record> control_bytes_at_target(std::uint64_t seed);
+std::vector<record> control_cpu_at_target(std::uint64_t seed);
+std::vector<record> routing_cost_at_target(std::uint64_t seed);
+
+/// Bytes of state per peer and per upstream.
+std::vector<record> state_memory(std::uint64_t seed);
+
+/// Bytes per claim, and of the values in the store per seat and per change.
+std::vector<record> state_size(std::uint64_t seed);
+
+} // namespace dragonflyroad::bench
--- a/bench/config_memory.cpp
+++ b/bench/config_memory.cpp
@@ -1,3 +1,4 @@
+#include "bench/allocated_bytes.hpp"
 #include "bench/record.hpp"
 #include "config/codec.hpp"
 #include "config/object.hpp"
@@ -5,23 +6,17 @@
 #include "core/digest.hpp"
 
 #include <fmt/format.h>
-#include <malloc.h>
 
 using namespace dragonflyroad;
 using namespace dragonflyroad::bench;
 
 namespace {
 
-std::size_t allocated_bytes()
-{
-    const auto info = mallinfo2();
-    return info.uordblks + info.hblkhd;
-}
-
 void add_organisation(configuration& config, std::size_t number)
 {
     const organisation_id id{fmt::format("org{:07}", number)};
-    config.organisations.insert_or_assign(id, organisation{id, 100.0 + static_cast<double>(number % 7), 20, 1});
+    config.organisations.insert_or_assign(
+        id, organisation{id, 100.0 + static_cast<double>(number % 7), 20, 1});
 }
 
 void add_key(configuration& config, std::size_t number)
--- a/bench/control_cpu.cpp
+++ b/bench/control_cpu.cpp
@@ -1,7 +1,9 @@
+#include "bench/capacity.hpp"
 #include "bench/control_load.hpp"
 #include "bench/record.hpp"
 
 #include <ctime>
+#include <tuple>
 
 namespace dragonflyroad::bench {
 namespace {
@@ -36,6 +38,40 @@
             seed};
 }
 
+/// As above, with the CPU time of a call of each kind.
+std::vector<record> measure_parts(const fleet_shape& shape, std::uint64_t seed)
+{
+    constexpr std::chrono::seconds time{10};
+    constexpr double microsecond = 1e-6;
+    membership_fleet fleet{shape, seed};
+    fleet.run_until(fleet.now + std::chrono::seconds{3});
+    fleet.cpu_seconds = thread_seconds;
+    run_under_changes(fleet, time);
+    const auto make = [&](const std::string& measure, double value, const char* unit) {
+        return record{"control_cpu",
+                      shape.deployment,
+                      measure + "_" + std::to_string(shape.nodes) + "_nodes",
+                      value,
+                      unit,
+                      0,
+                      bound_kind::none,
+                      seed};
+    };
+    const auto per_second = [&](std::uint64_t count) {
+        return static_cast<double>(count) / static_cast<double>(shape.nodes * time.count());
+    };
+    const auto& [ticks, datagrams] = std::tie(fleet.ticks, fleet.received);
+    return {make("tick_time", ticks.seconds / static_cast<double>(ticks.count) / microsecond, "us"),
+            make("ticks", per_second(ticks.count), "1/s"),
+            make("datagram_time",
+                 datagrams.seconds / static_cast<double>(datagrams.count) / microsecond, "us"),
+            make("datagrams", per_second(datagrams.count), "1/s"),
+            make("control_cpu",
+                 100 * (ticks.seconds + datagrams.seconds) /
+                     static_cast<double>(shape.nodes * time.count()),
+                 "%")};
+}
+
 const registration entry{{"control_cpu", true, [](std::uint64_t seed) {
                               return std::vector<record>{measure(ledgerworks(24), seed),
                                                          measure(siamcite(27), seed),
@@ -43,4 +79,15 @@
                           }}};
 
 } // namespace
+
+std::vector<record> control_cpu_at_target(std::uint64_t seed)
+{
+    std::vector<record> records;
+    for (const std::size_t nodes : {24U, 150U, 2'100U}) {
+        const auto some = measure_parts(target(nodes), seed);
+        records.insert(records.end(), some.begin(), some.end());
+    }
+    return records;
+}
+
 } // namespace dragonflyroad::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -2,6 +2,7 @@
 #include "bench/record.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <fmt/core.h>
 #include <string>
@@ -9,6 +10,24 @@
 using namespace dragonflyroad;
 using namespace dragonflyroad::bench;
 
+namespace {
+
+/// Returns whether all bounds are kept. The time goes to the error output, so that the records of
+/// decision benchmarks stay the same from run to run.
+bool run_and_print(const benchmark& entry, std::uint64_t seed)
+{
+    const auto start = std::chrono::steady_clock::now();
+    bool all_kept = true;
+    for (const record& result : entry.run(seed)) {
+        all_kept = print(result) && all_kept;
+    }
+    const std::chrono::duration<double> taken = std::chrono::steady_clock::now() - start;
+    fmt::print(stderr, "bench={} duration_s={:.1f}\n", entry.name, taken.count());
+    return all_kept;
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
     CLI::App app{"Prints the measures of dragonflyroad, one record per line"};
@@ -38,9 +57,7 @@
             fmt::print("{}{}\n", entry.name, entry.live ? " (live)" : "");
             continue;
         }
-        for (const record& result : entry.run(seed)) {
-            all_kept = print(result) && all_kept;
-        }
+        all_kept = run_and_print(entry, seed) && all_kept;
     }
     if (!found) {
         fmt::print(stderr, "no benchmark is named {}; --list prints the names\n", only);
--- a/bench/membership_fleet.cpp
+++ b/bench/membership_fleet.cpp
@@ -184,7 +184,8 @@
 void membership_fleet::tick(std::size_t node)
 {
     member& target = this->members[node];
-    const membership_tick result = target.membership->tick(this->now, this->random);
+    const membership_tick result =
+        this->timed(this->ticks, [&] { return target.membership->tick(this->now, this->random); });
     this->send(node, result.datagrams);
     if (this->on_change) {
         for (const state_change& change : result.changes) {
@@ -208,7 +209,9 @@
 {
     member& target = this->members[node];
     target.received_bytes += bytes.size() + header_bytes;
-    const membership_news news = target.membership->on_datagram(bytes, this->now, this->random);
+    const membership_news news = this->timed(this->received, [&] {
+        return target.membership->on_datagram(bytes, this->now, this->random);
+    });
     this->send(node, news.datagrams);
     if (this->on_news && news.accepted) {
         this->on_news(node, news);
--- a/bench/membership_fleet.hpp
+++ b/bench/membership_fleet.hpp
@@ -77,6 +77,15 @@
     std::function<void(std::size_t node, const membership_news& news)> on_news;
     std::function<void(std::size_t node, const state_change& change)> on_change;
 
+    /// Calls of one kind and their CPU time, counted while `cpu_seconds` is set.
+    struct cost {
+        std::uint64_t count = 0;
+        double seconds = 0;
+    };
+    std::function<double()> cpu_seconds;
+    cost ticks;
+    cost received;
+
 private:
     struct event {
         time_point time;
@@ -90,6 +99,19 @@
         bool operator()(const event& left, const event& right) const;
     };
 
+    /// Makes one call and adds it to `total`.
+    template<class Call>
+    auto timed(cost& total, const Call& call)
+    {
+        const double before = this->cpu_seconds ? this->cpu_seconds() : 0;
+        auto result = call();
+        if (this->cpu_seconds) {
+            ++total.count;
+            total.seconds += this->cpu_seconds() - before;
+        }
+        return result;
+    }
+
     void start(std::size_t node);
     void push(event next);
     void handle(event& next);
