--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -23,6 +23,7 @@
         records.insert(records.end(), some.begin(), some.end());
     };
     add(state_size(seed));
+    add(config_slopes(seed));
     add(run_registered("config_memory", seed));
     add(run_registered("limits_cost", seed));
     add(run_registered("decision_cost", seed));
--- a/bench/capacity.hpp
+++ b/bench/capacity.hpp
@@ -10,6 +10,8 @@
 // Parts of other benchmarks at the sizes of the target scale, too long for CI's verdict. The
 // benchmark `capacity` collects them.
 
+/// Bytes per organisation, key and route of a configuration.
+std::vector<record> config_slopes(std::uint64_t seed);
 std::vector<record> config_in_force_time_at_target(std::uint64_t seed);
 std::vector<record> control_bytes_at_target(std::uint64_t seed);
 std::vector<record> control_cpu_at_target(std::uint64_t seed);
