Claim idempotency keys at their owners and rejoin after a lost seat

Cause: each node kept claims of its own and never forgot them, so a retry through another node ran a second time. A node whose seat was reclaimed refused until it was restarted. Calls to lenders ran one after the other.

Change: fleet_claims sends claim, complete and hand_over over JSON-RPC to the owner by the seats of the ledger copy, hands claims over on seat changes and before the seat is left, and reports completions until they are acknowledged. The table uses the request's repeat window for losses, takes hand-overs in several messages, and does not count the last seat's claims as handed over. fleet_rights and membership continue as another run after seat_lost. Loan calls run on 8 threads with one call at a time to a lender that has failed. local_claims remains for tests that decide on rates.

--- a/src/claims/claim_table.cpp
+++ b/src/claims/claim_table.cpp
@@ -73,7 +73,7 @@
                               place->second.attempt == request.attempt;
         return {repeated ? claim_verdict::granted : to_verdict(place->second.state), version};
     }
-    if (this->is_lost(request.key, now)) {
+    if (this->is_lost(request.key, request.window, now)) {
         return {claim_verdict::unknown, version};
     }
     if (place == this->claims.end() && this->claims.size() >= this->capacity) {
@@ -137,10 +137,11 @@
     });
 }
 
-bool claim_table::is_lost(const claim_key& key, time_point now) const
+bool claim_table::is_lost(const claim_key& key, std::chrono::milliseconds window,
+                          time_point now) const
 {
     return std::any_of(this->lost.begin(), this->lost.end(), [&](const lost_owner& owner) {
-        if (now - owner.since >= this->longest_window) {
+        if (now - owner.since >= window) {
             return false;
         }
         return owner.everything ||
@@ -169,6 +170,19 @@
     }
 }
 
+void claim_table::note_empty_fleet(const seat& own_seat, time_point now)
+{
+    const bool was_empty =
+        std::all_of(this->book.seats.begin(), this->book.seats.end(),
+                    [&](const seat& entry) { return entry.joined >= own_seat.joined; });
+    for (const departure& entry : this->book.departures) {
+        // Nobody hands the losses of the earlier seats over.
+        if (was_empty && !entry.handed_over && entry.departed < own_seat.joined) {
+            this->lost.push_back({entry, now, entry.departed - 1, false});
+        }
+    }
+}
+
 void claim_table::set_seats(const ledger& next, time_point now)
 {
     if (next.seat_version <= this->book.seat_version) {
@@ -182,6 +196,7 @@
     if (previous.find(this->self) == nullptr) {
         // This run cannot have owned a key before it was seated.
         this->complete_at = own->joined - 1;
+        this->note_empty_fleet(*own, now);
     }
     this->note_departures(previous, now);
     this->received.clear();
@@ -306,9 +321,11 @@
     for (const lost_seat& entry : message.lost) {
         this->adopt_loss(entry, now);
     }
-    std::uint64_t& level = this->received[message.from];
-    level = std::max(level, message.complete_at);
-    this->finish_if_complete();
+    if (!message.has_more) {
+        std::uint64_t& level = this->received[message.from];
+        level = std::max(level, message.complete_at);
+        this->finish_if_complete();
+    }
     ack.seat_version = message.seat_version;
     return ack;
 }
@@ -331,11 +348,18 @@
 
 bool claim_table::has_handed_over() const
 {
-    return this->stopping && this->complete_at == this->book.seat_version &&
+    // Claims that nobody can take are lost with the last seat.
+    const bool is_taken = !this->transfers.empty() || this->claims.empty();
+    return this->stopping && is_taken && this->complete_at == this->book.seat_version &&
            std::all_of(this->transfers.begin(), this->transfers.end(),
                        [](const auto& named) { return named.second.acknowledged; });
 }
 
+void claim_table::extend_window(std::chrono::milliseconds window)
+{
+    this->longest_window = std::max(this->longest_window, window);
+}
+
 void claim_table::expire(time_point now)
 {
     std::erase_if(this->claims, [&](const auto& named) { return named.second.expires <= now; });
--- a/src/claims/claim_table.hpp
+++ b/src/claims/claim_table.hpp
@@ -44,7 +44,8 @@
 
     /// Stops answering claims and hands all of them to the other seats.
     void stop();
-    /// True when every other seat has acknowledged everything; `leave` may then be written for this
+    /// True when every other seat has acknowledged everything, or this node holds no claims and is
+    /// the only seat; `leave` may then be written for this
     /// seat version.
     bool has_handed_over() const;
 
@@ -54,6 +55,10 @@
     /// Forgets everything: this node continues as another run.
     void reset(const seat_key& next_key);
 
+    /// The longest repeat window of any profile; it never decreases, because claims of the earlier
+    /// window may be held.
+    void extend_window(std::chrono::milliseconds window);
+
     std::uint64_t seat_version() const { return this->book.seat_version; }
     std::size_t size() const { return this->claims.size(); }
 
@@ -81,8 +86,9 @@
     };
 
     bool is_ready(const claim_key& key) const;
-    bool is_lost(const claim_key& key, time_point now) const;
+    bool is_lost(const claim_key& key, std::chrono::milliseconds window, time_point now) const;
     void note_departures(const ledger& previous, time_point now);
+    void note_empty_fleet(const seat& own_seat, time_point now);
     void start_transfers();
     void finish_if_complete();
     claim_hand_over empty_hand_over(time_point now) const;
--- a/src/claims/message_codec.cpp
+++ b/src/claims/message_codec.cpp
@@ -86,6 +86,7 @@
     message.seat_version = v.at("seat_version").get<std::uint64_t>();
     message.complete_at = v.at("complete_at").get<std::uint64_t>();
     message.leaving = v.at("leaving").get<bool>();
+    message.has_more = v.at("has_more").get<bool>();
     for (const json& record : v.at("claims")) {
         message.claims.push_back({parse_key(record.at("key")), to_value(states, record.at("state")),
                                   record.at("attempt").get<std::uint64_t>(),
@@ -142,9 +143,13 @@
                         {"everything", entry.everything},
                         {"elapsed_ms", entry.elapsed.count()}});
     }
-    return {{"from", to_json(message.from)},      {"seat_version", message.seat_version},
-            {"complete_at", message.complete_at}, {"leaving", message.leaving},
-            {"claims", std::move(claims)},        {"lost", std::move(lost)}};
+    return {{"from", to_json(message.from)},
+            {"seat_version", message.seat_version},
+            {"complete_at", message.complete_at},
+            {"leaving", message.leaving},
+            {"has_more", message.has_more},
+            {"claims", std::move(claims)},
+            {"lost", std::move(lost)}};
 }
 
 json to_json(const claim_hand_over_ack& message)
--- a/src/claims/messages.hpp
+++ b/src/claims/messages.hpp
@@ -86,6 +86,8 @@
     bool leaving = false;
     std::vector<claim_record> claims;
     std::vector<lost_seat> lost;
+    /// More records follow in another message, so this one does not complete the hand-over.
+    bool has_more = false;
 };
 
 struct claim_hand_over_ack {
--- a/src/membership/fleet_membership.cpp
+++ b/src/membership/fleet_membership.cpp
@@ -11,11 +11,13 @@
 } // namespace
 
 fleet_membership::fleet_membership(const peer_card& self, std::vector<std::string> seed_addresses,
-                                   std::string fleet_secret, membership_settings settings)
-    : table(self, std::move(seed_addresses), settings.peers),
-      upstreams(self.run, settings.announcements),
-      seal(std::move(fleet_secret), self.run),
-      limits(settings.peers)
+                                   std::string fleet_secret, membership_settings given)
+    : table(self, seed_addresses, given.peers),
+      upstreams(self.run, given.announcements),
+      seal(fleet_secret, self.run),
+      seeds(std::move(seed_addresses)),
+      secret(std::move(fleet_secret)),
+      settings(given)
 {
 }
 
@@ -133,7 +135,7 @@
     const bool is_newer = facts.revision > this->stated_revision;
     this->stated_revision = facts.revision;
     this->table.set_facts(std::move(facts));
-    if (is_newer && this->limits.urgent_revisions) {
+    if (is_newer && this->settings.peers.urgent_revisions) {
         this->table.request_round(now);
     }
 }
@@ -179,4 +181,22 @@
     this->table.leave(now);
 }
 
+std::unique_ptr<fleet_membership> fleet_membership::continue_as(incarnation run,
+                                                                time_point now) const
+{
+    peer_card card = this->table.self();
+    const incarnation earlier = std::exchange(card.run, run);
+    card.version = 1;
+    auto next = std::make_unique<fleet_membership>(card, this->seeds, this->secret, this->settings);
+    next->table.adopt(this->table.cards(), now);
+    const std::vector<upstream_record> records = this->upstreams.all();
+    next->merge(records, now);
+    for (const upstream_record& record : records) {
+        if (record.run == earlier && record.state != announced_state::gone) {
+            next->announce({record.upstream, record.service, record.slots, record.state}, now);
+        }
+    }
+    return next;
+}
+
 } // namespace dragonflyroad
--- a/src/membership/fleet_membership.hpp
+++ b/src/membership/fleet_membership.hpp
@@ -7,6 +7,7 @@
 #include "membership/peer_table.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,7 +56,7 @@
 class fleet_membership {
 public:
     fleet_membership(const peer_card& self, std::vector<std::string> seed_addresses,
-                     std::string fleet_secret, membership_settings limits = {});
+                     std::string fleet_secret, membership_settings given = {});
 
     membership_tick tick(time_point now, random_engine& random);
     membership_news on_datagram(std::string_view bytes, time_point now, random_engine& random);
@@ -80,6 +81,10 @@
     /// it for as long as requests are being finished.
     void leave(time_point now);
 
+    /// The same node as a later run, with the peers, upstream records and own upstreams of this
+    /// one. Own upstreams count as renewed at `now`. Messages for the earlier run are refused.
+    std::unique_ptr<fleet_membership> continue_as(incarnation run, time_point now) const;
+
     peer_table& peers() { return this->table; }
     const peer_table& peers() const { return this->table; }
     const announcement_table& announcements() const { return this->upstreams; }
@@ -95,7 +100,9 @@
     peer_table table;
     announcement_table upstreams;
     message_seal seal;
-    peer_settings limits;
+    std::vector<std::string> seeds;
+    std::string secret;
+    membership_settings settings;
     revision_number stated_revision = 0;
 };
 
--- a/src/node/fleet_rights.cpp
+++ b/src/node/fleet_rights.cpp
@@ -100,32 +100,29 @@
 {
     std::unique_lock lock{this->mutex};
     this->controller.stop(boot_clock::now());
-    this->controller.set_claims_handed_over(this->controller.book().seat_version);
-    while (!this->controller.has_left() && !this->is_seat_lost && boot_clock::now() < deadline) {
+    while (!this->controller.has_left() && boot_clock::now() < deadline) {
         this->changed.wait_for(lock, deadline - boot_clock::now());
     }
     lock.unlock();
     this->control_task->stop();
     this->trade_task->stop();
+    this->loans.stop();
 }
 
 duration fleet_rights::control()
 {
     const std::vector<rights_peer> peers = this->own.members.peers();
-    this->fetch_ledger();
+    this->fetch_requested_ledger();
     rights_step step;
     {
         const std::scoped_lock lock{this->mutex};
-        if (this->is_seat_lost) {
-            return control_tick;
-        }
         const time_point now = boot_clock::now();
         step = this->controller.step(peers, this->random, now);
         this->quota.evict(now);
-        this->is_seat_lost = step.seat_lost;
     }
     if (step.seat_lost) {
-        log_line{"seat_lost"}.add("node", this->own.key.node.value);
+        this->rejoin();
+        return control_tick;
     }
     if (step.write) {
         this->perform_write(*step.write);
@@ -138,6 +135,22 @@
     return control_tick;
 }
 
+void fleet_rights::rejoin()
+{
+    seat_key next = this->own.key;
+    {
+        const std::scoped_lock lock{this->mutex};
+        next.run = std::max(make_incarnation(std::chrono::system_clock::now(), this->random),
+                            this->controller.key().run + 1);
+    }
+    log_line{"seat_lost"}.add("node", next.node.value).add("next_run", next.run);
+    // Membership first: the witnesses' acknowledgements for the earlier run must not count as
+    // evidence for a seat of the next one.
+    this->own.members.continue_as(next.run, boot_clock::now());
+    const std::scoped_lock lock{this->mutex};
+    this->controller.rejoin(next, boot_clock::now());
+}
+
 void fleet_rights::perform_write(const ledger_write& write)
 {
     const write_result result = this->own.ledger_store->write(
@@ -189,18 +202,25 @@
     }
 }
 
-void fleet_rights::fetch_ledger()
+void fleet_rights::fetch_requested_ledger()
 {
     std::string address;
     {
         const std::scoped_lock lock{this->mutex};
         address = std::exchange(this->fetch_from, {});
     }
-    if (address.empty()) {
+    if (!address.empty()) {
+        this->fetch_ledger(address, boot_clock::now() + call_timeout);
+    }
+}
+
+void fleet_rights::fetch_ledger(const std::string& address, time_point deadline)
+{
+    if (this->is_fetching.exchange(true)) {
         return;
     }
-    const auto answer = this->client.call(address, "ledger", nlohmann::json::object(),
-                                          boot_clock::now() + call_timeout);
+    const auto answer = this->client.call(address, "ledger", nlohmann::json::object(), deadline);
+    this->is_fetching = false;
     if (!answer || !answer->is_object() || !answer->contains("book") ||
         !answer->at("book").is_string()) {
         return;
@@ -221,18 +241,20 @@
         plan = this->quota.wanted(this->controller.lenders(peers), this->random, boot_clock::now());
     }
     for (const auto& request : plan.requests) {
-        this->borrow(request);
-    }
-    for (const auto& [to, message] : plan.returns) {
-        if (const auto address = this->own.members.rpc_address(to)) {
-            this->client.call(*address, "return_loan", to_json(message),
-                              boot_clock::now() + call_timeout);
+        const bool is_taken =
+            this->loans.submit(request.to, [this, request] { return this->borrow(request); });
+        if (!is_taken) {
+            this->quota.give_up(request.message.id, boot_clock::now());
         }
     }
+    for (const auto& message : plan.returns) {
+        // A return that is not sent ends with the loan's deadline.
+        this->loans.submit(message.to, [this, message] { return this->return_loan(message); });
+    }
     return trade_tick;
 }
 
-void fleet_rights::borrow(const addressed<borrow_request>& request)
+bool fleet_rights::borrow(const addressed<borrow_request>& request)
 {
     const auto address = this->own.members.rpc_address(request.to);
     const auto answer = !address ? std::nullopt
@@ -241,11 +263,19 @@
     const auto reply = !answer ? std::nullopt : from_json<borrow_reply>(*answer);
     if (!reply) {
         this->quota.give_up(request.message.id, boot_clock::now());
-        return;
+        return false;
     }
     this->quota.borrow(*reply, boot_clock::now());
     const std::scoped_lock lock{this->mutex};
     this->changed.notify_all();
+    return true;
+}
+
+bool fleet_rights::return_loan(const addressed<loan_return>& message)
+{
+    const auto address = this->own.members.rpc_address(message.to);
+    return address && this->client.call(*address, "return_loan", to_json(message.message),
+                                        boot_clock::now() + call_timeout);
 }
 
 std::optional<nlohmann::json> fleet_rights::lend(const nlohmann::json& params)
@@ -295,6 +325,31 @@
     return nlohmann::json{{"book", encode(this->controller.book())}};
 }
 
+seat_facts fleet_rights::seats(const seat_key& known_key, std::uint64_t known_version,
+                               time_point now) const
+{
+    const std::scoped_lock lock{this->mutex};
+    seat_facts facts{this->controller.key(), this->controller.is_open(now), std::nullopt};
+    if (this->controller.knows_ledger() &&
+        (known_key != facts.key || known_version < this->controller.book().seat_version)) {
+        facts.book = this->controller.book();
+    }
+    return facts;
+}
+
+void fleet_rights::request_ledger(const node_id& peer)
+{
+    const auto address = this->own.members.rpc_address(peer);
+    const std::scoped_lock lock{this->mutex};
+    this->fetch_from = address.value_or(this->fetch_from);
+}
+
+void fleet_rights::set_claims_handed_over(std::uint64_t seat_version)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->controller.set_claims_handed_over(seat_version);
+}
+
 void fleet_rights::fill_facts(local_facts& facts, const std::vector<seat_key>& peers,
                               time_point now)
 {
@@ -305,7 +360,7 @@
         if (this->controller.proof().ledger_version == book.version) {
             facts.ledger_proof = this->controller.proof().as_of;
         }
-        if (const seat* const entry = book.find(this->own.key)) {
+        if (const seat* const entry = book.find(this->controller.key())) {
             for (const seat_key& witness : entry->witnesses) {
                 facts.witnesses.push_back(witness.node);
             }
--- a/src/node/gates.hpp
+++ b/src/node/gates.hpp
@@ -7,6 +7,7 @@
 #include "retry/crash_log.hpp"
 #include "retry/retry_policy.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -55,6 +56,10 @@
     organisation_id organisation;
     service_name service;
     std::string key;
+    /// Set by claim_gate::claim(): the random number of this attempt and how long the claim is
+    /// remembered.
+    std::uint64_t attempt = 0;
+    std::chrono::milliseconds window{0};
 };
 
 enum class claim_decision { granted, in_progress, done, unknown, unavailable };
@@ -63,7 +68,7 @@
 public:
     virtual ~claim_gate() = default;
     /// `repeat_window` is how long the claim is remembered after its end.
-    virtual claim_decision claim(const claim_subject& key, std::chrono::milliseconds repeat_window,
+    virtual claim_decision claim(claim_subject& key, std::chrono::milliseconds repeat_window,
                                  time_point deadline) = 0;
     /// Ends a granted claim; after `ran::no` the key may be claimed again.
     virtual void complete(const claim_subject& key, ran executed) = 0;
--- a/src/node/membership_controller.cpp
+++ b/src/node/membership_controller.cpp
@@ -119,6 +119,14 @@
     this->publish_if_changed();
 }
 
+void membership_controller::continue_as(incarnation run, time_point now)
+{
+    const std::scoped_lock lock{this->mutex};
+    this->members = this->members->continue_as(run, now);
+    this->published = this->members->announcements().version();
+    this->hooks.on_upstreams(this->collect());
+}
+
 void membership_controller::leave(time_point now)
 {
     const std::scoped_lock lock{this->mutex};
@@ -160,4 +168,11 @@
                                                         : std::optional{peer->card.rpc_address};
 }
 
+std::optional<std::string> membership_controller::rpc_address(const node_id& peer) const
+{
+    const std::scoped_lock lock{this->mutex};
+    const peer_entry* const known = this->members->peers().find(peer);
+    return known == nullptr ? std::nullopt : std::optional{known->card.rpc_address};
+}
+
 } // namespace dragonflyroad
--- a/src/node/membership_controller.hpp
+++ b/src/node/membership_controller.hpp
@@ -37,6 +37,8 @@
 
     void announce(const announced_upstream& upstream, time_point now);
     void withdraw(const upstream_id& upstream, time_point now);
+    /// Continues as a later run of this node, without leaving the fleet.
+    void continue_as(incarnation run, time_point now);
     void leave(time_point now);
     void stop();
 
@@ -44,6 +46,7 @@
     /// The peers as the rights controller sees them.
     std::vector<rights_peer> peers() const;
     std::optional<std::string> rpc_address(const seat_key& peer) const;
+    std::optional<std::string> rpc_address(const node_id& peer) const;
 
 private:
     void receive(std::string_view bytes);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -9,8 +9,10 @@
 #include "node/blackboard.hpp"
 #include "node/config_controller.hpp"
 #include "node/explain_log.hpp"
+#include "node/fleet_claims.hpp"
 #include "node/fleet_rights.hpp"
 #include "node/membership_controller.hpp"
+#include "node/node_status.hpp"
 #include "node/peer_port.hpp"
 #include "node/periodic_task.hpp"
 #include "node/pipeline.hpp"
@@ -25,7 +27,6 @@
 #include <utility>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace dragonflyroad {
 namespace {
@@ -35,6 +36,8 @@
 /// Loans last 3 s and are reclaimed after 3.6 s; a seat that cannot be left in this time, because
 /// the store does not answer, is reclaimed by the peers.
 constexpr std::chrono::seconds seat_leave_time{5};
+/// Claims that no peer takes in this time are lost; their keys are then refused for the window.
+constexpr std::chrono::seconds claim_hand_over_time{2};
 
 template<typename Gate, typename Default>
 void fill_in(std::shared_ptr<Gate>& gate, std::shared_ptr<Default> standard)
@@ -55,6 +58,8 @@
           methods(given.secret),
           peer_server(this->open_peer_port()),
           quota(this->make_quota(given_store, run)),
+          owned_claims(std::make_shared<fleet_claims>(fleet_claims::parts{
+              given.id, {given.id, run}, *this->quota, this->board, given.secret, run})),
           requests({this->board, this->complete(std::move(given_gates)), std::move(given_carrier),
                     this->counters, this->explanations, prefix}),
           admin({this->members, this->counters, this->explanations,
@@ -86,6 +91,7 @@
     std::atomic<bool> has_methods = false;
     std::unique_ptr<http_server> peer_server;
     std::shared_ptr<fleet_rights> quota;
+    std::shared_ptr<fleet_claims> owned_claims;
     /// False when a test decides on rates; the node then takes no seat.
     bool uses_quota = true;
     pipeline requests;
@@ -108,7 +114,7 @@
     this->uses_quota = decisions.rate == nullptr;
     fill_in(decisions.rate, this->quota);
     fill_in(decisions.crash, this->crashes);
-    fill_in(decisions.claims, std::make_shared<local_claims>());
+    fill_in(decisions.claims, this->owned_claims);
     fill_in(decisions.upstreams, this->upstreams);
     fill_in(decisions.retries, std::make_shared<budgeted_retries>());
     return decisions;
@@ -178,24 +184,15 @@
     card.datagram_address = card.rpc_address;
     card.admin_address = this->admin_server->address();
     this->quota->add_methods(this->methods);
+    this->owned_claims->add_methods(this->methods);
     this->has_methods = true;
     return this->members.start(card, this->settings.seeds, this->settings.secret);
 }
 
 std::string node::parts::status()
 {
-    nlohmann::ordered_json body;
-    body["node"] = this->settings.id.value;
-    body["data_centre"] = this->settings.centre.value;
-    body["revision"] = this->board.config.read()->revision;
-    body["upstreams"] = nlohmann::ordered_json::array();
-    for (const announced_upstream& upstream : this->members.upstreams()) {
-        body["upstreams"].push_back({{"address", upstream.id.value},
-                                     {"service", upstream.service.value},
-                                     {"slots", upstream.slots},
-                                     {"state", upstream.draining ? "draining" : "ready"}});
-    }
-    return body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    return node_status(this->settings, this->board.config.read()->revision,
+                       this->members.upstreams());
 }
 
 bool node::parts::listen(const std::chrono::milliseconds& request_timeout)
@@ -224,6 +221,7 @@
 {
     if (this->uses_quota) {
         this->quota->start();
+        this->owned_claims->start();
     }
     this->config_task = std::make_unique<periodic_task>([this] { return this->config.follow(); });
     this->routing_task = std::make_unique<periodic_task>([this] {
@@ -320,7 +318,9 @@
     own.wait_until_idle();
     own.caller_server->stop();
     if (own.uses_quota) {
+        own.owned_claims->hand_over(boot_clock::now() + claim_hand_over_time);
         own.quota->stop(boot_clock::now() + seat_leave_time);
+        own.owned_claims->stop();
     }
     own.config_task->stop();
     own.routing_task->stop();
--- a/src/node/pipeline.cpp
+++ b/src/node/pipeline.cpp
@@ -237,7 +237,10 @@
         key->size() > max_idempotency_key) {
         return refuse(refusal_reason::malformed_request, "Idempotency-Key is not acceptable");
     }
-    const claim_subject wanted{context.tenant->id, context.service, std::string{*key}};
+    claim_subject wanted;
+    wanted.organisation = context.tenant->id;
+    wanted.service = context.service;
+    wanted.key = std::string{*key};
     refusal refused = refuse(refusal_reason::repeat_in_progress);
     switch (this->parts.decisions.claims->claim(wanted, context.rules->repeat_window,
                                                 context.deadline)) {
--- a/src/node/simple_gates.cpp
+++ b/src/node/simple_gates.cpp
@@ -28,7 +28,7 @@
     return rate_verdict::admitted;
 }
 
-claim_decision local_claims::claim(const claim_subject& key, std::chrono::milliseconds, time_point)
+claim_decision local_claims::claim(claim_subject& key, std::chrono::milliseconds, time_point)
 {
     const std::scoped_lock lock{this->mutex};
     const auto [found, is_new] =
--- a/src/node/simple_gates.hpp
+++ b/src/node/simple_gates.hpp
@@ -37,9 +37,10 @@
     std::unordered_map<organisation_id, bucket> buckets;
 };
 
+/// Claims within one process that are never forgotten, for tests of a node without a seat.
 class local_claims : public claim_gate {
 public:
-    claim_decision claim(const claim_subject& key, std::chrono::milliseconds repeat_window,
+    claim_decision claim(claim_subject& key, std::chrono::milliseconds repeat_window,
                          time_point deadline) override;
     void complete(const claim_subject& key, ran executed) override;
 
--- a/test/support/test_node.cpp
+++ b/test/support/test_node.cpp
@@ -117,6 +117,7 @@
     this->config.keys.insert_or_assign(digest,
                                        {digest, organisation_id{"acme"}, key_state::granted});
     this->decisions.rate = std::make_shared<local_rates>();
+    this->decisions.claims = std::make_shared<local_claims>();
     this->settings.id = node_id{"node-1"};
     this->settings.centre = data_centre{"dc-1"};
     this->settings.caller_address = "127.0.0.1:0";
