Initialise the yardstick of the outlier detector

slow_above and least_span had no initial value, and make_yardstick() sets them only from 50 samples on. Both now start at zero.

24 test cases of routing and retry pass in a scratch build with these sources.

--- a/src/routing/outlier_detector.hpp
+++ b/src/routing/outlier_detector.hpp
@@ -88,9 +88,9 @@
 
     /// What counts as bad at this moment, and how often sound upstreams are bad.
     struct yardstick {
-        duration slow_above;
+        duration slow_above{0};
         /// How far the first and the last bad request must lie apart to be conclusive.
-        duration least_span;
+        duration least_span{0};
         double bad_share = 0;
         bool is_service_slow = false;
     };
