Follow the configuration head and fetch changes from peers in the node

Cause: the node read a provisional format of config/head that the operators' command never writes, learned nothing from peers and always claimed to be current.

--- a/src/node/fleet_rights.cpp
+++ b/src/node/fleet_rights.cpp
@@ -295,6 +295,12 @@
     return nlohmann::json{{"book", encode(this->controller.book())}};
 }
 
+seat_status fleet_rights::status(time_point now) const
+{
+    const std::scoped_lock lock{this->mutex};
+    return {this->controller.is_open(now), this->quota.units()};
+}
+
 void fleet_rights::fill_facts(local_facts& facts, const std::vector<seat_key>& peers,
                               time_point now)
 {
--- a/src/node/fleet_rights.hpp
+++ b/src/node/fleet_rights.hpp
@@ -18,6 +18,12 @@
 
 namespace dragonflyroad {
 
+/// The seat as status shows it.
+struct seat_status {
+    bool is_fence_open = false;
+    std::int64_t units = 0;
+};
+
 /// This node's share of every organisation's rate: the seat in the ledger and the loans between
 /// peers. Performs the store calls and messages that rights_controller and rights ask for.
 class fleet_rights : public rate_gate {
@@ -43,6 +49,8 @@
     /// Leaves the seat if the store answers; waits until `deadline` at most.
     void stop(time_point deadline);
 
+    seat_status status(time_point now) const;
+
     /// For membership, which holds its own lock meanwhile.
     void fill_facts(local_facts& facts, const std::vector<seat_key>& peers, time_point now);
     void take_news(const membership_news& news, time_point now);
--- a/src/node/membership_controller.cpp
+++ b/src/node/membership_controller.cpp
@@ -152,6 +152,22 @@
     return list;
 }
 
+std::vector<known_peer> membership_controller::known() const
+{
+    const std::scoped_lock lock{this->mutex};
+    std::vector<known_peer> list;
+    for (const auto& [node, peer] : this->members->peers().peers()) {
+        list.push_back({peer.card, peer.state});
+    }
+    return list;
+}
+
+contact membership_controller::contacts(time_point now) const
+{
+    const std::scoped_lock lock{this->mutex};
+    return this->members->peers().contacts(now);
+}
+
 std::optional<std::string> membership_controller::rpc_address(const seat_key& key) const
 {
     const std::scoped_lock lock{this->mutex};
--- a/src/node/membership_controller.hpp
+++ b/src/node/membership_controller.hpp
@@ -16,6 +16,12 @@
 
 namespace dragonflyroad {
 
+/// A node of the fleet as this one sees it.
+struct known_peer {
+    peer_card card;
+    peer_state state = peer_state::alive;
+};
+
 /// What other controllers learn from and tell to membership. Called with the membership lock held,
 /// so they must not call back.
 struct membership_hooks {
@@ -43,6 +49,9 @@
     std::vector<announced_upstream> upstreams() const;
     /// The peers as the rights controller sees them.
     std::vector<rights_peer> peers() const;
+    /// All peers that are not forgotten.
+    std::vector<known_peer> known() const;
+    contact contacts(time_point now) const;
     std::optional<std::string> rpc_address(const seat_key& peer) const;
 
 private:
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,9 +8,11 @@
 #include "node/admin_port.hpp"
 #include "node/blackboard.hpp"
 #include "node/config_controller.hpp"
+#include "node/config_peers.hpp"
 #include "node/explain_log.hpp"
 #include "node/fleet_rights.hpp"
 #include "node/membership_controller.hpp"
+#include "node/node_status.hpp"
 #include "node/peer_port.hpp"
 #include "node/periodic_task.hpp"
 #include "node/pipeline.hpp"
@@ -25,7 +27,6 @@
 #include <utility>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace dragonflyroad {
 namespace {
@@ -55,11 +56,17 @@
           methods(given.secret),
           peer_server(this->open_peer_port()),
           quota(this->make_quota(given_store, run)),
+          config(std::make_shared<config_controller>(std::move(given_store), this->board, run)),
+          config_spread({given.id, given.centre, this->rpc_address(), given.seeds, given.secret,
+                         *this->config, this->members}),
           requests({this->board, this->complete(std::move(given_gates)), std::move(given_carrier),
                     this->counters, this->explanations, prefix}),
-          admin({this->members, this->counters, this->explanations,
-                 [this] { return this->status(); }}),
-          config(std::move(given_store), this->board)
+          admin({this->members, this->counters, this->explanations, [this] {
+                     return describe_node({this->settings.id, this->settings.centre, this->board,
+                                           *this->config, this->config_spread, this->members,
+                                           *this->quota, *this->upstreams},
+                                          boot_clock::now());
+                 }})
     {
     }
 
@@ -67,8 +74,8 @@
     membership_hooks make_hooks();
     std::unique_ptr<http_server> open_peer_port();
     std::shared_ptr<fleet_rights> make_quota(std::shared_ptr<store> ledger_store, incarnation run);
+    std::string rpc_address() const;
     bool join_fleet(incarnation run);
-    std::string status();
     bool listen(const std::chrono::milliseconds& request_timeout);
     void start_controllers();
     void evaluate_upstreams();
@@ -88,9 +95,10 @@
     std::shared_ptr<fleet_rights> quota;
     /// False when a test decides on rates; the node then takes no seat.
     bool uses_quota = true;
+    std::shared_ptr<config_controller> config;
+    config_peers config_spread;
     pipeline requests;
     admin_port admin;
-    config_controller config;
     std::unique_ptr<http_server> caller_server;
     std::unique_ptr<http_server> admin_server;
     std::unique_ptr<periodic_task> config_task;
@@ -104,7 +112,7 @@
 
 gates node::parts::complete(gates decisions)
 {
-    fill_in(decisions.freshness, std::make_shared<always_current>());
+    fill_in(decisions.freshness, this->config);
     this->uses_quota = decisions.rate == nullptr;
     fill_in(decisions.rate, this->quota);
     fill_in(decisions.crash, this->crashes);
@@ -119,7 +127,8 @@
     membership_hooks hooks;
     hooks.fill_facts = [this](local_facts& facts, const std::vector<seat_key>& peers,
                               time_point now) {
-        facts.revision = this->board.config.read()->revision;
+        facts.store_proof = this->config->proof();
+        facts.revision = this->config->revision();
         if (this->quota != nullptr) {
             this->quota->fill_facts(facts, peers, now);
         }
@@ -130,6 +139,7 @@
             records.push_back({report.fingerprint, report.upstream, now - report.age});
         }
         this->crashes->merge(records, now);
+        this->config_spread.take_news(news);
         if (this->quota != nullptr) {
             this->quota->take_news(news, now);
         }
@@ -155,10 +165,9 @@
 std::shared_ptr<fleet_rights> node::parts::make_quota(std::shared_ptr<store> ledger_store,
                                                       incarnation run)
 {
-    const std::string address = this->peer_server == nullptr ? "" : this->peer_server->address();
     fleet_rights::parts given{{this->settings.id, run},
                               this->settings.centre,
-                              address,
+                              this->rpc_address(),
                               std::move(ledger_store),
                               this->members,
                               this->board,
@@ -178,24 +187,14 @@
     card.datagram_address = card.rpc_address;
     card.admin_address = this->admin_server->address();
     this->quota->add_methods(this->methods);
+    this->config_spread.add_methods(this->methods);
     this->has_methods = true;
     return this->members.start(card, this->settings.seeds, this->settings.secret);
 }
 
-std::string node::parts::status()
+std::string node::parts::rpc_address() const
 {
-    nlohmann::ordered_json body;
-    body["node"] = this->settings.id.value;
-    body["data_centre"] = this->settings.centre.value;
-    body["revision"] = this->board.config.read()->revision;
-    body["upstreams"] = nlohmann::ordered_json::array();
-    for (const announced_upstream& upstream : this->members.upstreams()) {
-        body["upstreams"].push_back({{"address", upstream.id.value},
-                                     {"service", upstream.service.value},
-                                     {"slots", upstream.slots},
-                                     {"state", upstream.draining ? "draining" : "ready"}});
-    }
-    return body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    return this->peer_server == nullptr ? "" : this->peer_server->address();
 }
 
 bool node::parts::listen(const std::chrono::milliseconds& request_timeout)
@@ -205,12 +204,9 @@
     options.max_header_bytes = this->settings.max_header_bytes;
     options.address = this->settings.admin_address;
     options.threads = 8;
-    if (this->peer_server == nullptr) {
-        return false;
-    }
     this->admin_server = http_server::start(
         options, [this](http_exchange& exchange) { this->admin.handle(exchange); });
-    if (this->admin_server == nullptr) {
+    if (this->admin_server == nullptr || this->peer_server == nullptr) {
         return false;
     }
     options.address = this->settings.caller_address;
@@ -225,7 +221,9 @@
     if (this->uses_quota) {
         this->quota->start();
     }
-    this->config_task = std::make_unique<periodic_task>([this] { return this->config.follow(); });
+    this->config_spread.start();
+    this->config->add_metrics(this->counters);
+    this->config_task = std::make_unique<periodic_task>([this] { return this->config->follow(); });
     this->routing_task = std::make_unique<periodic_task>([this] {
         this->evaluate_upstreams();
         return duration{routing_tick};
@@ -295,7 +293,7 @@
 
 bool node::wait_for_revision(revision_number revision, time_point deadline) const
 {
-    return this->impl->config.wait_for_revision(revision, deadline);
+    return this->impl->config->wait_for_revision(revision, deadline);
 }
 
 void node::stop()
@@ -322,6 +320,7 @@
     if (own.uses_quota) {
         own.quota->stop(boot_clock::now() + seat_leave_time);
     }
+    own.config_spread.stop();
     own.config_task->stop();
     own.routing_task->stop();
     own.members.stop();
--- /dev/null
+++ b/src/node/node_status.cpp
@@ -0,0 +1,97 @@
+#include "node/node_status.hpp"
+
+#include <chrono>
+#include <map>
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflyroad {
+namespace {
+
+using nlohmann::ordered_json;
+
+const char* to_code(node_phase phase)
+{
+    switch (phase) {
+    case node_phase::starting:
+        return "starting";
+    case node_phase::serving:
+        return "serving";
+    case node_phase::leaving:
+        return "leaving";
+    case node_phase::stopping:
+        break;
+    }
+    return "stopping";
+}
+
+const char* to_code(proof_state state)
+{
+    switch (state) {
+    case proof_state::current:
+        return "current";
+    case proof_state::fleet_only:
+        return "fleet_only";
+    case proof_state::isolated:
+        break;
+    }
+    return "isolated";
+}
+
+ordered_json describe_upstreams(const status_sources& from)
+{
+    ordered_json list = ordered_json::array();
+    std::map<service_name, std::map<upstream_id, ejection_step>> steps;
+    for (const announced_upstream& upstream : from.members.upstreams()) {
+        const auto [service, is_new] = steps.try_emplace(upstream.service);
+        if (is_new) {
+            service->second = from.upstreams.steps(upstream.service);
+        }
+        const auto step = service->second.find(upstream.id);
+        list.push_back(
+            {{"address", upstream.id.value},
+             {"service", upstream.service.value},
+             {"slots", upstream.slots},
+             {"state", upstream.draining ? "draining" : "ready"},
+             {"step", step == service->second.end() ? "unknown" : to_code(step->second)}});
+    }
+    return list;
+}
+
+ordered_json describe_peers(const status_sources& from)
+{
+    ordered_json list = ordered_json::array();
+    for (const known_peer& peer : from.members.known()) {
+        ordered_json entry{{"id", peer.card.node.value},
+                           {"admin_address", peer.card.admin_address},
+                           {"state", to_code(peer.state)}};
+        if (const auto revision = from.spread.revision_of(peer.card.node)) {
+            entry["revision"] = *revision;
+        }
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
+} // namespace
+
+std::string describe_node(const status_sources& from, time_point now)
+{
+    ordered_json body;
+    body["node"] = from.node.value;
+    body["data_centre"] = from.centre.value;
+    body["state"] = to_code(from.board.phase.load());
+    body["revision"] = from.config.revision();
+    body["freshness"] = to_code(from.config.state(now));
+    const config_counts counts = from.config.counts();
+    body["config_refused"] = counts.refused;
+    body["config_older"] = counts.older;
+    const seat_status seat = from.rights.status(now);
+    body["fence"] = seat.is_fence_open ? "open" : "closed";
+    body["seat_units"] = seat.units;
+    body["upstreams"] = describe_upstreams(from);
+    body["peers"] = describe_peers(from);
+    return body.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+} // namespace dragonflyroad
--- a/src/node/routed_upstreams.cpp
+++ b/src/node/routed_upstreams.cpp
@@ -181,6 +181,17 @@
     this->serve(queue);
 }
 
+std::map<upstream_id, ejection_step> routed_upstreams::steps(const service_name& service) const
+{
+    std::map<upstream_id, ejection_step> list;
+    if (const auto view = this->upstreams.view(service)) {
+        for (const auto& entry : view->upstreams) {
+            list[entry->id] = entry->step.load();
+        }
+    }
+    return list;
+}
+
 void routed_upstreams::set_upstreams(const std::vector<announced_upstream>& announced)
 {
     const std::scoped_lock lock{this->announced_mutex};
--- a/src/node/routed_upstreams.hpp
+++ b/src/node/routed_upstreams.hpp
@@ -37,6 +37,9 @@
 
     std::size_t waiting() const;
 
+    /// The step of each upstream of a service.
+    std::map<upstream_id, ejection_step> steps(const service_name& service) const;
+
 private:
     struct waiter {
         const place_request& request;
--- a/src/node/simple_gates.hpp
+++ b/src/node/simple_gates.hpp
@@ -19,11 +19,6 @@
 /// Gates that decide from this process alone, for tests of the request path and until the decision
 /// modules are joined to it.
 
-class always_current : public freshness_gate {
-public:
-    proof_state state(time_point) override { return proof_state::current; }
-};
-
 class local_rates : public rate_gate {
 public:
     rate_verdict admit(const organisation& limits, time_point deadline) override;
--- a/test/support/test_node.cpp
+++ b/test/support/test_node.cpp
@@ -1,5 +1,7 @@
 #include "test/support/test_node.hpp"
 
+#include "config/change_codec.hpp"
+#include "config/codec.hpp"
 #include "core/digest.hpp"
 #include "node/simple_gates.hpp"
 #include "test/support/raw_socket.hpp"
@@ -10,50 +12,39 @@
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace dragonflyroad::test {
 namespace {
 
-/// The whole configuration as one value; see src/node/head_reader.hpp.
-std::string to_head(const configuration& config)
+/// All objects of a configuration as one chunk, so that its revision can be chosen freely.
+std::string to_chunk(const configuration& config)
 {
-    nlohmann::json root;
-    root["revision"] = config.revision;
-    for (const auto& [name, rules] : config.profiles) {
-        root["profiles"].push_back({{"name", name.value},
-                                    {"timeout_ms", rules.timeout.count()},
-                                    {"idle_timeout_ms", rules.idle_timeout.count()},
-                                    {"queue_timeout_ms", rules.queue_timeout.count()},
-                                    {"retry_budget", rules.retry_budget},
-                                    {"max_body_bytes", rules.max_body_bytes}});
+    chunk_record chunk{config.revision, {}};
+    const auto add = [&chunk, &config](const object& value) {
+        change entry;
+        entry.revision = config.revision;
+        entry.id = "test";
+        entry.kind = kind_of(value);
+        entry.name = name_of(value);
+        entry.body = encode_object(value).dump();
+        chunk.entries.push_back(entry);
+    };
+    for (const auto& [name, value] : config.profiles) {
+        add(value);
     }
-    for (const auto& [name, entry] : config.services) {
-        root["services"].push_back({{"name", name.value}, {"profile", entry.profile.value}});
+    for (const auto& [name, value] : config.services) {
+        add(value);
     }
-    for (const auto& [name, entry] : config.routes) {
-        std::vector<std::string> names;
-        for (const organisation_id& id : entry.organisations) {
-            names.push_back(id.value);
-        }
-        root["routes"].push_back({{"name", name.value},
-                                  {"path_prefix", entry.path_prefix},
-                                  {"service", entry.service.value},
-                                  {"organisations", names}});
+    for (const auto& [name, value] : config.routes) {
+        add(value);
     }
-    for (const auto& [id, entry] : config.organisations) {
-        root["organisations"].push_back({{"id", id.value},
-                                         {"rate", entry.rate},
-                                         {"burst", entry.burst},
-                                         {"weight", entry.weight}});
+    for (const auto& [id, value] : config.organisations) {
+        add(value);
     }
-    for (const auto& [digest, entry] : config.keys) {
-        root["keys"].push_back(
-            {{"digest", digest},
-             {"organisation", entry.organisation.value},
-             {"state", entry.state == key_state::granted ? "granted" : "withdrawn"}});
+    for (const auto& [digest, value] : config.keys) {
+        add(value);
     }
-    return root.dump();
+    return encode_chunk(chunk);
 }
 
 } // namespace
@@ -149,8 +140,13 @@
 void test_node::publish()
 {
     ++this->config.revision;
-    const auto head = this->values->read("config/head", {});
-    this->values->write("config/head", to_head(this->config), head->version, {});
+    const revision_number revision = this->config.revision;
+    const auto chunk = this->values->write(chunk_key(revision), to_chunk(this->config), 0, {});
+    head_record next;
+    next.revision = revision;
+    next.chunks = {{revision, revision, chunk.version}};
+    const auto head = this->values->read(head_key, {});
+    this->values->write(head_key, encode_head(next), head->version, {});
     REQUIRE(this->running->wait_for_revision(this->config.revision,
                                              boot_clock::now() + std::chrono::seconds{20}));
 }
