--- a/src/node/fleet_rights.cpp
+++ b/src/node/fleet_rights.cpp
@@ -350,6 +350,12 @@
     this->controller.set_claims_handed_over(seat_version);
 }
 
+seat_status fleet_rights::status(time_point now) const
+{
+    const std::scoped_lock lock{this->mutex};
+    return {this->controller.is_open(now), this->quota.units()};
+}
+
 void fleet_rights::fill_facts(local_facts& facts, const std::vector<seat_key>& peers,
                               time_point now)
 {
--- a/src/node/fleet_rights.hpp
+++ b/src/node/fleet_rights.hpp
@@ -28,6 +28,12 @@
     std::optional<ledger> book;
 };
 
+/// The seat as status shows it.
+struct seat_status {
+    bool is_fence_open = false;
+    std::int64_t units = 0;
+};
+
 /// This node's share of every organisation's rate: the seat in the ledger and the loans between
 /// peers. Performs the store calls and messages that rights_controller and rights ask for.
 class fleet_rights : public rate_gate {
@@ -61,6 +67,7 @@
     void request_ledger(const node_id& peer);
     /// All claims went to the other seats of this seat version.
     void set_claims_handed_over(std::uint64_t seat_version);
+    seat_status status(time_point now) const;
 
     /// For membership, which holds its own lock meanwhile.
     void fill_facts(local_facts& facts, const std::vector<seat_key>& peers, time_point now);
