Answer 503 on the admin port until the node has joined

Cause: a status request between the opening of the admin port and the start of membership ended the process without a log line; scripts/demo polls the status of a starting node. Change: the admin port answers 503 with Retry-After while the node is starting. No test brings the early status request about yet.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -83,6 +83,7 @@
     bool join_fleet(incarnation run);
     bool listen(const std::chrono::milliseconds& request_timeout);
     void start_controllers();
+    void handle_admin(http_exchange& exchange);
     void spread_crashes(time_point now);
     void evaluate_upstreams();
     void handle(http_exchange& exchange);
@@ -205,6 +206,17 @@
     return this->peer_server == nullptr ? "" : this->peer_server->address();
 }
 
+void node::parts::handle_admin(http_exchange& exchange)
+{
+    // The port opens before membership, whose card names its address. A status request in between
+    // ended the process.
+    if (this->board.phase == node_phase::starting) {
+        exchange.send(503, {{"Retry-After", "1"}}, "");
+        return;
+    }
+    this->admin.handle(exchange);
+}
+
 bool node::parts::listen(const std::chrono::milliseconds& request_timeout)
 {
     http_server_options options;
@@ -213,7 +225,7 @@
     options.address = this->settings.admin_address;
     options.threads = 8;
     this->admin_server = http_server::start(
-        options, [this](http_exchange& exchange) { this->admin.handle(exchange); });
+        options, [this](http_exchange& exchange) { this->handle_admin(exchange); });
     if (this->admin_server == nullptr || this->peer_server == nullptr) {
         return false;
     }
