--- a/test/error/at_most_once.cpp
+++ b/test/error/at_most_once.cpp
@@ -179,7 +179,9 @@
         INFO("seed ", seed);
         keyed_traffic traffic(seed);
         traffic.run();
-        for (const auto& [key, runs] : traffic.runs) {
+        for (const auto& entry : traffic.runs) {
+            const auto& key = entry.first;
+            const auto& runs = entry.second;
             INFO("key ", key);
             CHECK(runs <= 1);
         }
