--- a/bench/healthy_capacity_floor.cpp
+++ b/bench/healthy_capacity_floor.cpp
@@ -102,12 +102,8 @@
     return records;
 }
 
-const registration own{{"healthy_capacity_floor", false, [](std::uint64_t seed) {
-                            auto records = measure(seed, false);
-                            const auto baseline = measure(seed, true);
-                            records.insert(records.end(), baseline.begin(), baseline.end());
-                            return records;
-                        }}};
+const registration own{{"healthy_capacity_floor", false,
+                        [](std::uint64_t seed) { return with_baseline(measure, seed); }}};
 
 } // namespace
 } // namespace dragonflyroad::bench
--- a/bench/model/seeds.hpp
+++ b/bench/model/seeds.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace dragonflyroad::bench {
 
@@ -33,4 +34,14 @@
     bool is_empty = true;
 };
 
+/// The records of this project followed by those of the baseline, for the same seeds.
+inline std::vector<record> with_baseline(std::vector<record> (*measure)(std::uint64_t, bool),
+                                         std::uint64_t first_seed)
+{
+    std::vector<record> records = measure(first_seed, false);
+    const std::vector<record> baseline = measure(first_seed, true);
+    records.insert(records.end(), baseline.begin(), baseline.end());
+    return records;
+}
+
 } // namespace dragonflyroad::bench
--- a/standin/stop_signal.cpp
+++ b/src/adapters/stop_signal.cpp
@@ -1,8 +1,8 @@
-#include "standin/stop_signal.hpp"
+#include "adapters/stop_signal.hpp"
 
 #include <csignal>
 
-namespace dragonflyroad::standin {
+namespace dragonflyroad {
 namespace {
 
 sigset_t stop_signals()
@@ -20,13 +20,15 @@
 {
     const sigset_t signals = stop_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
-void wait_for_stop_signal()
+int wait_for_stop_signal()
 {
     const sigset_t signals = stop_signals();
     int received = 0;
     sigwait(&signals, &received);
+    return received;
 }
 
-} // namespace dragonflyroad::standin
+} // namespace dragonflyroad
--- a/standin/store_main.cpp
+++ b/standin/store_main.cpp
@@ -1,7 +1,7 @@
 #include "adapters/command_line.hpp"
 #include "adapters/log.hpp"
+#include "adapters/stop_signal.hpp"
 #include "core/failure.hpp"
-#include "standin/stop_signal.hpp"
 #include "standin/store.hpp"
 
 #include <string>
@@ -29,7 +29,7 @@
     if (check) {
         return exit_done;
     }
-    standin::block_stop_signals();
+    block_stop_signals();
     standin::store_server server;
     if (!server.start(address)) {
         log_line{"start_failed"}
@@ -38,7 +38,7 @@
         return exit_failed;
     }
     log_line{"store_started"}.add("address", server.address().to_text());
-    standin::wait_for_stop_signal();
+    wait_for_stop_signal();
     server.stop();
     log_line{"store_stopped"}.add("address", server.address().to_text());
     return exit_done;
--- a/standin/upstream_main.cpp
+++ b/standin/upstream_main.cpp
@@ -1,7 +1,7 @@
 #include "adapters/command_line.hpp"
 #include "adapters/log.hpp"
+#include "adapters/stop_signal.hpp"
 #include "core/failure.hpp"
-#include "standin/stop_signal.hpp"
 #include "standin/upstream.hpp"
 
 #include <cstdint>
@@ -57,7 +57,7 @@
     }
     line.options.service_time = std::chrono::milliseconds{line.service_time_ms};
     line.options.cold_start = std::chrono::milliseconds{line.cold_start_ms};
-    standin::block_stop_signals();
+    block_stop_signals();
     standin::upstream server{line.options};
     server.set_fault(*fault);
     if (!server.start()) {
@@ -69,7 +69,7 @@
     log_line{"upstream_started"}
         .add("service", line.options.service)
         .add("address", server.address());
-    standin::wait_for_stop_signal();
+    wait_for_stop_signal();
     server.stop();
     log_line{"upstream_stopped"}.add("address", server.address()).add("runs", server.runs().size());
     return 0;
