--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -1,18 +1,69 @@
 #include "adapters/log.hpp"
 
+#include "core/clock.hpp"
+
 #include <chrono>
 #include <cstdio>
 #include <mutex>
+#include <optional>
 #include <utility>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <fmt/chrono.h>
 
 namespace dragonflyroad {
 namespace {
 
+/// Lines a second that are written; a busy node of today's sites writes about thirty.
+constexpr std::uint64_t most_lines_per_second = 400;
+
+/// Bytes that wait for a slow reader.
+constexpr std::size_t most_waiting_bytes = 256U << 10U;
+
+/// Standard output without blocking.
+class bounded_output {
+public:
+    bounded_output()
+    {
+        const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+
+    void write(const std::string& line)
+    {
+        const time_point now = boot_clock::now();
+        if (now >= this->window_end) {
+            this->window_end = now + std::chrono::seconds{1};
+            this->lines_in_window = 0;
+        }
+        const bool is_over = ++this->lines_in_window > most_lines_per_second;
+        if (is_over || this->waiting.size() + line.size() > most_waiting_bytes) {
+            ++this->left_out;
+        }
+        else {
+            this->waiting += line;
+        }
+        const auto count = ::write(STDOUT_FILENO, this->waiting.data(), this->waiting.size());
+        if (count > 0) {
+            this->waiting.erase(0, static_cast<std::size_t>(count));
+        }
+    }
+
+    std::uint64_t lines_left_out() const { return this->left_out; }
+
+private:
+    std::string waiting;
+    time_point window_end{};
+    std::uint64_t lines_in_window = 0;
+    std::uint64_t left_out = 0;
+};
+
 struct log_output {
     std::mutex mutex;
     std::function<void(const std::string&)> sink;
+    std::optional<bounded_output> bounded;
 };
 
 log_output& output()
@@ -61,7 +112,26 @@
         target.sink(this->text);
         return;
     }
-    fmt::print(stderr, "time={} {}\n", utc_now(), this->text);
+    const std::string line = fmt::format("time={} {}\n", utc_now(), this->text);
+    if (target.bounded) {
+        target.bounded->write(line);
+        return;
+    }
+    fmt::print(stderr, "{}", line);
+}
+
+void log_to_bounded_output()
+{
+    log_output& target = output();
+    const std::scoped_lock lock{target.mutex};
+    target.bounded.emplace();
+}
+
+std::uint64_t log_lines_left_out()
+{
+    log_output& target = output();
+    const std::scoped_lock lock{target.mutex};
+    return target.bounded ? target.bounded->lines_left_out() : 0;
 }
 
 void log_line::append(std::string_view key, const std::string& value)
--- a/src/adapters/log.hpp
+++ b/src/adapters/log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -33,6 +34,14 @@
     std::string text;
 };
 
+/// Sends log lines to standard output from now on. Writing never blocks: lines wait in a buffer of
+/// bounded size while the reader is slow, and more lines than a bounded number a second are left
+/// out and counted.
+void log_to_bounded_output();
+
+/// Lines that were left out since the start.
+std::uint64_t log_lines_left_out();
+
 /// Replaces the destination of log lines, for golden tests; an empty function restores standard
 /// error. The line passed in has no time and no line end.
 void set_log_sink(std::function<void(const std::string&)> sink);
--- /dev/null
+++ b/src/dispatch/upstream_health.cpp
@@ -0,0 +1,83 @@
+#include "dispatch/upstream_health.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dragonflyroad {
+namespace {
+
+/// Weight of one outcome. Two failures in a row give 0.58, while one of the 1.2% that fail on sound
+/// upstreams gives 0.35 and fades.
+constexpr double outcome_weight = 0.35;
+
+/// Failures fade with this half-life even without outcomes, so that an upstream is tried again;
+/// gray episodes last some seconds.
+constexpr std::chrono::milliseconds failure_half_life{2'000};
+
+/// Weight of one run time; run times spread widely, so one alone says little.
+constexpr double run_time_weight = 0.2;
+
+/// A single long run counts at most this many times its expected time.
+constexpr double largest_ratio = 8;
+
+constexpr std::chrono::milliseconds slowdown_half_life{4'000};
+
+/// Slowdowns below this are within the spread of run times.
+constexpr double usual_slowdown = 1.7;
+
+double fade(double value, time_point since, time_point now, std::chrono::milliseconds half_life)
+{
+    const std::chrono::duration<double> age = now - since;
+    const std::chrono::duration<double> half = half_life;
+    return value * std::exp2(-std::max(age.count(), 0.0) / half.count());
+}
+
+} // namespace
+
+void upstream_health::note_success(time_point now, std::chrono::milliseconds elapsed,
+                                   std::chrono::milliseconds expected)
+{
+    this->failures = this->failure_share(now) * (1 - outcome_weight);
+    this->failures_at = now;
+    if (expected.count() > 0) {
+        const double seen =
+            std::min(static_cast<double>(elapsed.count()) / static_cast<double>(expected.count()),
+                     largest_ratio);
+        this->ratio = this->slowdown(now) * (1 - run_time_weight) + seen * run_time_weight;
+        this->ratio_at = now;
+    }
+}
+
+void upstream_health::note_failure(time_point now)
+{
+    const double share = this->failure_share(now);
+    this->failures = share + (1 - share) * outcome_weight;
+    this->failures_at = now;
+}
+
+double upstream_health::failure_share(time_point now) const
+{
+    return fade(this->failures, this->failures_at, now, failure_half_life);
+}
+
+double upstream_health::slowdown(time_point now) const
+{
+    return 1 + fade(this->ratio - 1, this->ratio_at, now, slowdown_half_life);
+}
+
+std::chrono::milliseconds upstream_health::expected_cost(time_point now, bool is_repeatable,
+                                                         std::chrono::milliseconds expected_run,
+                                                         std::chrono::milliseconds objective,
+                                                         std::chrono::milliseconds overrun) const
+{
+    const auto run = static_cast<double>(expected_run.count());
+    const double slow = this->slowdown(now);
+    const double extra_run = slow > usual_slowdown ? (slow - 1) * run : 0;
+    // A stalled request shows before it ends.
+    const double stalled = std::max(static_cast<double>(overrun.count()) - 2 * run, 0.0);
+    const double failure_cost = is_repeatable ? run : static_cast<double>(objective.count());
+    const double cost = extra_run + stalled + this->failure_share(now) * failure_cost;
+    return std::chrono::milliseconds{static_cast<std::int64_t>(cost)};
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/admission.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/reasons.hpp"
+#include "mesh/dispatched_request.hpp"
+#include "mesh/request_headers.hpp"
+#include "mesh/routing_table.hpp"
+
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace dragonflyroad {
+
+/// What admission knows besides the request.
+struct admission_view {
+    std::shared_ptr<const routing_table> table;
+    /// The configuration was the newest a moment ago.
+    bool is_current = false;
+    /// The configuration is proved recently enough to trust its keys.
+    bool may_trust_keys = false;
+    bool is_stopping = false;
+    service_name caller_service;
+};
+
+struct refused_admission {
+    refusal_reason reason = refusal_reason::malformed_request;
+    std::string id;
+    std::string detail;
+    revision_number revision = 0;
+};
+
+using admission_result = std::variant<accepted_request, refused_admission>;
+
+/// Decides whether and how a request is served: route, organisation, rank and deadline. What an old
+/// configuration does not know, a newer one may, so a request is only turned down for good while
+/// the configuration is current.
+admission_result admit(http_request request, time_point arrived, const admission_view& view,
+                       const header_names& names, random_engine& random);
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/dispatched_request.cpp
@@ -0,0 +1,581 @@
+#include "mesh/dispatched_request.hpp"
+
+#include "adapters/log.hpp"
+#include "node/refusal.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflyroad {
+namespace {
+
+using milliseconds = std::chrono::milliseconds;
+
+/// VMs asked at once, first and whenever there is no good offer yet. Two choices remove most of the
+/// imbalance; each reservation costs two small messages.
+constexpr std::size_t first_asked = 2;
+constexpr std::size_t more_asked = 2;
+
+/// VMs at which one request waits at most; beyond that more reservations shorten the wait little.
+constexpr std::size_t most_reservations = 8;
+
+/// Without a good offer more VMs are asked after this time: a few round trips between data centres.
+constexpr milliseconds ask_interval{20};
+
+/// An offer with a cost up to this is taken at once, whatever other VMs might say.
+constexpr milliseconds small_cost{25};
+
+/// Without any reply for this time no VM can be reached.
+constexpr milliseconds no_reply_limit{600};
+
+/// A repeatable run that takes this many times the usual is started once more elsewhere. Run times
+/// spread by less than their mean; a twentieth of sound runs is longer.
+constexpr int slow_run_factor = 3;
+
+/// How long the outcome of a repeatable run is awaited while its VM is out of reach.
+constexpr milliseconds lost_run_limit{400};
+
+/// Rounds of reservations of one request, against endless loops between VMs that decline.
+constexpr std::size_t most_rounds = 12;
+
+/// Before the first run of a route its time is taken to be this part of its objective.
+constexpr int objective_per_run = 3;
+
+/// Interval of the checks while a request runs.
+constexpr milliseconds run_check_interval{100};
+
+milliseconds between(time_point start, time_point end)
+{
+    return std::chrono::duration_cast<milliseconds>(end - start);
+}
+
+} // namespace
+
+dispatched_request::dispatched_request(dispatcher& owner, quota_desk& quotas,
+                                       accepted_request taken, answer_function answer)
+    : shared(owner),
+      quota(quotas),
+      accepted(std::move(taken)),
+      answer_caller(std::move(answer)),
+      timer(owner.context)
+{
+}
+
+void dispatched_request::start()
+{
+    this->shared.repeats.note_request(this->accepted.service, boot_clock::now());
+    this->has_quota = !this->accepted.needs_quota;
+    this->begin_round();
+    if (this->has_quota || this->is_done) {
+        return;
+    }
+    this->quota.ask(this->round, this->accepted.organisation,
+                    [weak = this->weak_from_this()](const quota_decision& decision) {
+                        if (const auto self = weak.lock()) {
+                            self->on_quota(decision);
+                        }
+                    });
+}
+
+void dispatched_request::on_quota(const quota_decision& decision)
+{
+    this->is_counted = decision.is_counted;
+    if (this->is_done) {
+        if (this->is_counted && this->runs_started == 0) {
+            this->quota.give_back(this->accepted.organisation);
+        }
+        return;
+    }
+    if (decision.verdict == quota_verdict::admitted) {
+        this->has_quota = true;
+        this->decide();
+        return;
+    }
+    this->shortest_wait = decision.retry_after;
+    this->refuse(decision.verdict == quota_verdict::over_limit ? refusal_reason::organisation_rate
+                                                               : refusal_reason::rights_unproved,
+                 ran::no, "");
+}
+
+milliseconds dispatched_request::expected_run() const
+{
+    return this->shared.times.expected(this->accepted.service, this->accepted.route.name,
+                                       this->accepted.route.objective / objective_per_run);
+}
+
+milliseconds dispatched_request::start_within() const
+{
+    const time_point now = boot_clock::now();
+    const milliseconds run = this->expected_run();
+    const milliseconds until_deadline = between(now, this->accepted.deadline) - run;
+    const milliseconds until_objective =
+        between(now, this->accepted.arrived + this->accepted.route.objective) - run;
+    // A call holds its caller's slot, so ending it late is better than losing the work behind it.
+    const bool may_be_late = !this->accepted.rank.is_new_request || this->has_run_elsewhere();
+    return std::max(may_be_late ? until_deadline : std::min(until_objective, until_deadline),
+                    milliseconds{1});
+}
+
+void dispatched_request::begin_round()
+{
+    this->end_round();
+    this->round = this->shared.register_round(this->shared_from_this());
+    this->round_began = boot_clock::now();
+    ++this->rounds_started;
+    this->was_overloaded = false;
+    this->declined = this->tried;
+    if (!this->ask_more(first_asked)) {
+        // Every upstream of the service has had the request; a second try there beats none.
+        this->declined.clear();
+        if (this->rounds_started > most_rounds || !this->ask_more(first_asked)) {
+            this->repeat_or_refuse(refusal_reason::no_healthy_upstream, ran::no,
+                                   "no upstream of the service is known");
+            return;
+        }
+    }
+    this->arm_tick();
+}
+
+void dispatched_request::end_round()
+{
+    for (const auto& [vm, place] : this->reservations) {
+        this->shared.send(vm, release_message{this->round});
+    }
+    this->reservations.clear();
+    if (!this->runs.contains(this->round)) {
+        this->shared.end_round(this->round);
+    }
+    this->round = 0;
+}
+
+bool dispatched_request::has_unasked_vms() const
+{
+    const auto candidates = this->shared.directory.candidates(
+        this->accepted.service, this->shared.self, this->shared.centre);
+    return std::ranges::any_of(candidates, [&](const placement_candidate& candidate) {
+        return !this->reservations.contains(candidate.vm) && !this->declined.contains(candidate.vm);
+    });
+}
+
+bool dispatched_request::ask_more(std::size_t count)
+{
+    const time_point now = boot_clock::now();
+    auto candidates = this->shared.directory.candidates(this->accepted.service, this->shared.self,
+                                                        this->shared.centre);
+    std::erase_if(candidates, [&](const placement_candidate& candidate) {
+        return this->reservations.contains(candidate.vm) || this->declined.contains(candidate.vm);
+    });
+    const std::size_t room =
+        most_reservations - std::min(most_reservations, this->reservations.size());
+    const auto chosen = this->shared.places.choose(std::move(candidates), std::min(count, room),
+                                                   this->shared.random, now);
+    reserve_message message;
+    message.id = this->round;
+    message.service = this->accepted.service;
+    message.organisation = this->accepted.organisation;
+    message.rank = this->accepted.rank;
+    message.is_repeatable = this->accepted.route.may_repeat();
+    message.start_within = this->start_within();
+    message.objective = this->accepted.route.objective;
+    message.expected_run = this->expected_run();
+    for (const node_id& vm : chosen) {
+        this->reservations[vm] = {};
+    }
+    for (const node_id& vm : chosen) {
+        this->shared.send(vm, message);
+    }
+    this->next_ask = now + ask_interval;
+    return !chosen.empty();
+}
+
+void dispatched_request::receive(const node_id& from, const place_message& message)
+{
+    this->shared.places.note_reachable(from);
+    this->shared.places.note_cost(from, message.cost, boot_clock::now());
+    const auto found = this->reservations.find(from);
+    if (this->is_done || message.id != this->round || found == this->reservations.end()) {
+        this->shared.send(from, release_message{message.id});
+        return;
+    }
+    found->second = {true, message.is_offer, message.cost};
+    this->decide();
+}
+
+void dispatched_request::receive(const node_id& from, const decline_message& message)
+{
+    this->shared.places.note_reachable(from);
+    this->shared.places.note_cost(from, std::max(message.wait, milliseconds{200}),
+                                  boot_clock::now());
+    if (this->is_done || message.id != this->round) {
+        return;
+    }
+    this->reservations.erase(from);
+    this->declined.insert(from);
+    if (message.reason == decline_reason::overloaded) {
+        this->was_overloaded = true;
+        this->shortest_wait = std::min(this->shortest_wait.value_or(message.wait), message.wait);
+    }
+    this->after_decline();
+}
+
+void dispatched_request::after_decline()
+{
+    if (this->ask_more(more_asked) || !this->reservations.empty()) {
+        this->decide();
+        return;
+    }
+    this->repeat_or_refuse(this->was_overloaded ? refusal_reason::overload_shed
+                                                : refusal_reason::no_healthy_upstream,
+                           ran::no, "every upstream declined");
+}
+
+void dispatched_request::decide()
+{
+    if (this->is_done || !this->has_quota || this->round == 0) {
+        return;
+    }
+    std::vector<placement_reply> replies;
+    bool awaits_reply = false;
+    for (const auto& [vm, place] : this->reservations) {
+        awaits_reply = awaits_reply || !place.has_reply;
+        if (place.has_reply) {
+            replies.push_back({vm, place.is_offer, place.cost});
+        }
+    }
+    const auto best = best_offer(replies);
+    if (!best) {
+        return;
+    }
+    const bool is_cheap = this->reservations[*best].cost <= small_cost;
+    const bool may_improve =
+        awaits_reply || (this->has_unasked_vms() && this->reservations.size() < most_reservations);
+    if (is_cheap || !may_improve || boot_clock::now() > this->round_began + 3 * ask_interval) {
+        this->hand_over(*best);
+    }
+    else if (!awaits_reply) {
+        this->ask_more(more_asked);
+    }
+}
+
+void dispatched_request::hand_over(const node_id& vm)
+{
+    const time_point now = boot_clock::now();
+    const run_id id = this->round;
+    const reservation taken = this->reservations[vm];
+    this->runs[id] = {vm, now, {}};
+    this->tried.insert(vm);
+    ++this->runs_started;
+    run_message message;
+    message.id = id;
+    message.time_left = between(now, this->accepted.deadline);
+    message.head.method = this->accepted.request.head.method;
+    message.head.target = this->accepted.request.head.target;
+    message.head.headers =
+        forwarded_headers(this->accepted.request.head.headers, this->shared.names,
+                          {this->accepted.organisation, this->accepted.caller_service});
+    message.body = this->accepted.request.body;
+    log_line{"dispatch"}
+        .add("request", this->accepted.id)
+        .add("service", this->accepted.service.value)
+        .add("vm", vm.value)
+        .add("cost_ms", taken.cost.count())
+        .add("waited_ms", between(this->accepted.arrived, now).count())
+        .add("asked", this->reservations.size() + this->declined.size())
+        .add("run", this->runs_started);
+    this->reservations.erase(vm);
+    this->shared.send(vm, message);
+    this->end_round();
+    this->arm_tick();
+}
+
+void dispatched_request::receive(const node_id& from, const answer_message& message)
+{
+    this->shared.places.note_reachable(from);
+    const auto found = this->runs.find(message.id);
+    if (this->is_done || found == this->runs.end() || found->second.vm != from) {
+        return;
+    }
+    this->runs.erase(found);
+    this->shared.end_round(message.id);
+    if (message.status < 500) {
+        this->shared.times.note(this->accepted.service, this->accepted.route.name, message.elapsed);
+        this->deliver(message);
+        return;
+    }
+    this->shared.places.note_cost(from, this->accepted.route.objective / 2, boot_clock::now());
+    this->failed_answer = message;
+    if (!this->runs.empty()) {
+        return;
+    }
+    if (this->may_repeat(retry_reason::upstream_died)) {
+        this->begin_round();
+        return;
+    }
+    this->deliver(message);
+}
+
+void dispatched_request::receive(const node_id& from, const failed_message& message)
+{
+    const auto found = this->runs.find(message.id);
+    if (!this->is_done && found != this->runs.end() && found->second.vm == from) {
+        this->fail_run(message.id, message);
+    }
+}
+
+void dispatched_request::fail_run(run_id id, const failed_message& message)
+{
+    const node_id vm = this->runs.at(id).vm;
+    this->runs.erase(id);
+    this->shared.end_round(id);
+    this->shared.places.note_cost(vm, this->accepted.route.objective / 2, boot_clock::now());
+    log_line{"run_failed"}
+        .add("request", this->accepted.id)
+        .add("vm", vm.value)
+        .add("kind", static_cast<int>(message.kind))
+        .add("detail", message.detail);
+    if (!this->runs.empty() || this->round != 0) {
+        return;
+    }
+    if (message.kind == run_failure::unknown) {
+        if (this->may_repeat(retry_reason::upstream_died)) {
+            this->begin_round();
+            return;
+        }
+        this->repeat_or_refuse(refusal_reason::upstream_failed, ran::unknown, message.detail);
+        return;
+    }
+    // Nothing has run, so the request goes elsewhere whatever its kind.
+    --this->runs_started;
+    const bool was_sent = message.kind == run_failure::refused;
+    const time_point now = boot_clock::now();
+    if (was_sent &&
+        !this->shared.repeats.take(this->accepted.service, this->shared.directory.size(), now)) {
+        this->repeat_or_refuse(refusal_reason::upstream_refused, ran::no, message.detail);
+        return;
+    }
+    this->shared.counters.count_retry(was_sent ? retry_reason::not_run_by_upstream
+                                               : retry_reason::connect_failed);
+    this->begin_round();
+}
+
+bool dispatched_request::may_repeat(retry_reason reason)
+{
+    const time_point now = boot_clock::now();
+    if (!this->accepted.route.may_repeat() ||
+        this->runs_started >= this->accepted.route.max_attempts ||
+        now + this->expected_run() > this->accepted.deadline) {
+        return false;
+    }
+    if (!this->shared.repeats.take(this->accepted.service, this->shared.directory.size(), now)) {
+        return false;
+    }
+    this->shared.counters.count_retry(reason);
+    return true;
+}
+
+void dispatched_request::repeat_or_refuse(refusal_reason reason, ran executed,
+                                          const std::string& detail)
+{
+    this->end_round();
+    if (!this->runs.empty()) {
+        return;
+    }
+    if (this->failed_answer) {
+        this->deliver(*std::exchange(this->failed_answer, std::nullopt));
+        return;
+    }
+    const bool may_have_run = this->runs_started > 0;
+    this->refuse(may_have_run && executed == ran::no ? refusal_reason::upstream_failed : reason,
+                 may_have_run ? ran::unknown : executed, detail);
+}
+
+void dispatched_request::on_unreachable(const node_id& node)
+{
+    if (this->is_done) {
+        return;
+    }
+    for (auto& [id, run] : this->runs) {
+        if (run.vm == node && run.lost_at == time_point{}) {
+            run.lost_at = boot_clock::now();
+        }
+    }
+    if (this->round != 0 && this->reservations.erase(node) > 0) {
+        this->declined.insert(node);
+        this->after_decline();
+    }
+}
+
+void dispatched_request::on_restarted(const node_id& node)
+{
+    for (const auto& [id, run] : std::map{this->runs}) {
+        if (run.vm == node && !this->is_done) {
+            this->fail_run(id, {id, run_failure::unknown, "the VM's node has started again"});
+        }
+    }
+}
+
+bool dispatched_request::is_running(run_id id, const node_id& node) const
+{
+    const auto found = this->runs.find(id);
+    return found != this->runs.end() && found->second.vm == node;
+}
+
+bool dispatched_request::awaits(const node_id& node) const
+{
+    return this->reservations.contains(node) ||
+           std::ranges::any_of(this->runs,
+                               [&](const auto& item) { return item.second.vm == node; });
+}
+
+void dispatched_request::arm_tick()
+{
+    const time_point now = boot_clock::now();
+    const time_point next = std::min(this->accepted.deadline,
+                                     now + (this->round != 0 ? ask_interval : run_check_interval));
+    this->timer.expires_after(std::max<duration>(next - now, duration::zero()));
+    this->timer.async_wait([weak = this->weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr && !self->is_done) {
+            self->on_tick();
+        }
+    });
+}
+
+void dispatched_request::on_tick()
+{
+    const time_point now = boot_clock::now();
+    if (now >= this->accepted.deadline) {
+        this->end_round();
+        if (this->failed_answer) {
+            this->deliver(*std::exchange(this->failed_answer, std::nullopt));
+        }
+        else if (this->runs_started > 0) {
+            this->refuse(refusal_reason::deadline_exceeded, ran::unknown, "");
+        }
+        else {
+            this->refuse(refusal_reason::queue_timeout, ran::no, "");
+        }
+        return;
+    }
+    if (this->round != 0) {
+        const bool has_reply = std::ranges::any_of(
+            this->reservations, [](const auto& item) { return item.second.has_reply; });
+        if (!has_reply && now > this->round_began + no_reply_limit) {
+            this->repeat_or_refuse(refusal_reason::no_healthy_upstream, ran::no,
+                                   "no VM of the service replies");
+            return;
+        }
+        if (now >= this->next_ask) {
+            this->ask_more(more_asked);
+        }
+        this->decide();
+    }
+    for (const auto& [id, run] : std::map{this->runs}) {
+        const bool is_lost = run.lost_at != time_point{};
+        if (is_lost) {
+            this->shared.reconnect(run.vm);
+        }
+        const bool is_late = now > run.started_at + slow_run_factor * this->expected_run();
+        const bool is_overdue = is_late || (is_lost && now > run.lost_at + lost_run_limit);
+        if (is_overdue && this->runs.size() == 1 && this->round == 0 && !this->is_done &&
+            this->may_repeat(is_lost ? retry_reason::timed_out : retry_reason::hedged)) {
+            this->begin_round();
+        }
+    }
+    if (!this->is_done) {
+        this->arm_tick();
+    }
+}
+
+void dispatched_request::deliver(const answer_message& message)
+{
+    http_answer answer;
+    answer.status = message.status;
+    answer.headers = message.headers;
+    answer.body = message.body;
+    this->shared.counters.count_answer(message.status);
+    log_line{"answer"}
+        .add("request", this->accepted.id)
+        .add("status", message.status)
+        .add("elapsed_ms", between(this->accepted.arrived, boot_clock::now()).count())
+        .add("runs", this->runs_started);
+    this->finish(std::move(answer));
+}
+
+void dispatched_request::refuse(refusal_reason reason, ran executed, const std::string& detail)
+{
+    refusal refused;
+    refused.reason = reason;
+    refused.executed = executed;
+    refused.detail = detail;
+    refused.revision = this->accepted.revision;
+    if (executed == ran::no && this->shortest_wait) {
+        const milliseconds left = between(boot_clock::now(), this->accepted.deadline) / 3;
+        refused.retry_after =
+            std::clamp(*this->shortest_wait, milliseconds{100}, std::max(left, milliseconds{100}));
+    }
+    if (this->is_counted && this->runs_started == 0) {
+        this->quota.give_back(this->accepted.organisation);
+    }
+    const refusal_description& description = describe(reason);
+    this->shared.counters.count_refusal(reason);
+    log_line{"refusal"}
+        .add("request", this->accepted.id)
+        .add("reason", description.code)
+        .add("ran", to_code(executed))
+        .add("organisation", this->accepted.organisation.value)
+        .add("route", this->accepted.route.name.value)
+        .add("service", this->accepted.service.value)
+        .add("revision", this->accepted.revision)
+        .add("elapsed_ms", between(this->accepted.arrived, boot_clock::now()).count())
+        .add("declined", this->declined.size())
+        .add("detail", detail);
+    http_answer answer;
+    answer.status = description.status;
+    answer.headers = refusal_headers(refused, this->accepted.id);
+    answer.body = refusal_body(refused, this->accepted.id);
+    this->finish(std::move(answer));
+}
+
+void dispatched_request::finish(http_answer answer)
+{
+    const auto self = this->shared_from_this();
+    this->is_done = true;
+    this->release_all();
+    this->shared.counters.record_latency(boot_clock::now() - this->accepted.arrived);
+    const auto function = std::exchange(this->answer_caller, nullptr);
+    if (function != nullptr) {
+        function(std::move(answer));
+    }
+}
+
+void dispatched_request::release_all()
+{
+    this->timer.cancel();
+    this->end_round();
+    for (const auto& [id, run] : this->runs) {
+        this->shared.send(run.vm, cancel_message{id});
+        this->shared.end_round(id);
+    }
+    this->runs.clear();
+}
+
+void dispatched_request::cancel()
+{
+    if (std::exchange(this->is_done, true)) {
+        return;
+    }
+    const auto self = this->shared_from_this();
+    this->shared.counters.count_lost_client();
+    log_line{"caller_gone"}
+        .add("request", this->accepted.id)
+        .add("elapsed_ms", between(this->accepted.arrived, boot_clock::now()).count())
+        .add("runs", this->runs_started);
+    if (this->is_counted && this->runs_started == 0) {
+        this->quota.give_back(this->accepted.organisation);
+    }
+    this->answer_caller = nullptr;
+    this->release_all();
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/dispatcher.cpp
@@ -0,0 +1,96 @@
+#include "mesh/dispatcher.hpp"
+
+#include "mesh/dispatched_request.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace dragonflyroad {
+
+dispatcher::dispatcher(boost::asio::io_context& loop, const header_names& header_set, node_id node,
+                       data_centre own_centre, repeat_limit bound)
+    : context(loop),
+      names(header_set),
+      self(std::move(node)),
+      centre(std::move(own_centre)),
+      random(std::random_device{}()),
+      repeats(bound)
+{
+}
+
+run_id dispatcher::register_round(const std::shared_ptr<dispatched_request>& request)
+{
+    this->rounds[++this->last_round] = request;
+    return this->last_round;
+}
+
+std::shared_ptr<dispatched_request> dispatcher::find(run_id id) const
+{
+    const auto found = this->rounds.find(id);
+    return found == this->rounds.end() ? nullptr : found->second.lock();
+}
+
+std::vector<std::shared_ptr<dispatched_request>> dispatcher::requests() const
+{
+    std::vector<std::shared_ptr<dispatched_request>> open;
+    for (const auto& [id, weak] : this->rounds) {
+        const auto request = weak.lock();
+        if (request != nullptr && std::ranges::find(open, request) == open.end()) {
+            open.push_back(request);
+        }
+    }
+    return open;
+}
+
+void dispatcher::receive(const node_id& from, const link_message& message)
+{
+    std::visit(
+        [&](const auto& typed) {
+            if constexpr (requires(dispatched_request & request) {
+                              request.receive(from, typed);
+                          }) {
+                if (const auto request = this->find(typed.id)) {
+                    request->receive(from, typed);
+                }
+            }
+        },
+        message);
+}
+
+void dispatcher::on_unreachable(const node_id& node)
+{
+    this->places.note_unreachable(node, boot_clock::now());
+    for (const auto& request : this->requests()) {
+        request->on_unreachable(node);
+    }
+}
+
+void dispatcher::on_restarted(const node_id& node)
+{
+    for (const auto& request : this->requests()) {
+        request->on_restarted(node);
+    }
+}
+
+std::vector<run_id> dispatcher::open_runs(const node_id& node) const
+{
+    std::vector<run_id> open;
+    for (const auto& [id, weak] : this->rounds) {
+        const auto request = weak.lock();
+        if (request != nullptr && request->is_running(id, node)) {
+            open.push_back(id);
+        }
+    }
+    return open;
+}
+
+bool dispatcher::awaits(const node_id& node) const
+{
+    return std::ranges::any_of(this->rounds, [&](const auto& item) {
+        const auto request = item.second.lock();
+        return request != nullptr && request->awaits(node);
+    });
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/http_client_pool.cpp
@@ -0,0 +1,297 @@
+#include "mesh/http_client_pool.hpp"
+
+#include "adapters/address.hpp"
+#include "adapters/log.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+
+namespace dragonflyroad {
+namespace {
+
+/// Time for a connection to be made. Peers are on the same VM or a data centre away; one that is
+/// overloaded drops the opening packet, which the kernel sends again after a second.
+constexpr std::chrono::milliseconds connect_limit{1'500};
+
+/// Answers of earlier requests that are passed over before a connection is given up.
+constexpr int most_passed_over = 3;
+
+/// Part of the idle time that a peer announces which is used, since its clock started earlier.
+constexpr double used_idle_share = 0.8;
+
+/// The idle time of a `Keep-Alive: timeout=N` header.
+std::optional<std::chrono::milliseconds> announced_idle_time(const http_headers& headers)
+{
+    const auto value = find_header(headers, "Keep-Alive");
+    if (!value) {
+        return std::nullopt;
+    }
+    for (const std::string_view part : split_list(*value)) {
+        constexpr std::string_view name = "timeout=";
+        int seconds = 0;
+        if (part.starts_with(name)) {
+            const std::string_view digits = part.substr(name.size());
+            std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+            return std::chrono::milliseconds{
+                static_cast<std::int64_t>(seconds * 1000 * used_idle_share)};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+http_client_pool::http_client_pool(boost::asio::io_context& loop, std::size_t max_body_bytes)
+    : context(loop), body_limit(max_body_bytes)
+{
+}
+
+void http_client_pool::set_address(const std::string& text)
+{
+    if (text != this->address) {
+        this->address = text;
+        this->close_idle();
+    }
+}
+
+std::shared_ptr<client_connection> http_client_pool::start(exchange_request request,
+                                                           done_function done)
+{
+    auto connection = this->take_idle(request.max_idle);
+    if (connection == nullptr) {
+        connection = std::make_shared<client_connection>(*this, this->context);
+    }
+    connection->run(std::move(request), std::move(done));
+    return connection;
+}
+
+std::shared_ptr<client_connection> http_client_pool::take_idle(std::chrono::milliseconds max_idle)
+{
+    // The most recently used connection is the least likely to have been dropped by the peer.
+    const time_point now = boot_clock::now();
+    if (this->idle.empty()) {
+        return nullptr;
+    }
+    const auto connection = this->idle.back();
+    if (now > connection->idle_since + max_idle || now > connection->use_until) {
+        return nullptr;
+    }
+    this->idle.pop_back();
+    return connection;
+}
+
+void http_client_pool::put_back(const std::shared_ptr<client_connection>& connection)
+{
+    if (connection->address != this->address) {
+        connection->close();
+        return;
+    }
+    this->idle.push_back(connection);
+}
+
+void http_client_pool::remove_idle(const client_connection* connection)
+{
+    std::erase_if(this->idle, [&](const auto& kept) { return kept.get() == connection; });
+}
+
+void http_client_pool::close_idle()
+{
+    const auto unused = std::exchange(this->idle, {});
+    for (const auto& connection : unused) {
+        connection->close();
+    }
+}
+
+client_connection::client_connection(http_client_pool& owner, boost::asio::io_context& loop)
+    : pool(&owner), socket(loop), timer(loop)
+{
+}
+
+void client_connection::run(exchange_request next, http_client_pool::done_function function)
+{
+    this->request = std::move(next);
+    this->done = std::move(function);
+    this->decoder.emplace(this->request.method, this->pool->body_limit);
+    this->is_written = false;
+    this->passed_over = 0;
+    this->arm_timer(this->request.deadline);
+    if (this->is_connected) {
+        this->write();
+    }
+    else {
+        this->connect();
+    }
+}
+
+void client_connection::connect()
+{
+    const auto parsed = parse_address(this->pool->address);
+    if (!parsed) {
+        boost::asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+            self->finish(exchange_end::not_sent, "the address is not known");
+        });
+        return;
+    }
+    ++this->pool->opened;
+    this->address = this->pool->address;
+    this->arm_timer(std::min(this->request.deadline, boot_clock::now() + connect_limit));
+    this->socket.async_connect(
+        {boost::asio::ip::make_address(parsed->ip), parsed->port},
+        [self = this->shared_from_this()](const boost::system::error_code& error) {
+            if (self->is_closed || self->done == nullptr) {
+                return;
+            }
+            if (error) {
+                self->finish(exchange_end::not_sent, error.message());
+                return;
+            }
+            boost::system::error_code ignored;
+            self->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            self->is_connected = true;
+            self->arm_timer(self->request.deadline);
+            self->write();
+        });
+}
+
+void client_connection::write()
+{
+    boost::asio::async_write(
+        this->socket, boost::asio::buffer(this->request.bytes),
+        [self = this->shared_from_this()](const boost::system::error_code& error, std::size_t) {
+            if (self->is_closed) {
+                return;
+            }
+            self->is_written = true;
+            if (error) {
+                // The peer may have answered and closed before it read all.
+                self->read();
+            }
+        });
+    this->read();
+}
+
+void client_connection::read()
+{
+    if (this->is_reading || this->is_closed) {
+        return;
+    }
+    this->is_reading = true;
+    this->socket.async_read_some(boost::asio::buffer(this->input),
+                                 [self = this->shared_from_this()](
+                                     const boost::system::error_code& error, std::size_t size) {
+                                     self->is_reading = false;
+                                     self->on_read(error, size);
+                                 });
+}
+
+void client_connection::on_read(const boost::system::error_code& error, std::size_t size)
+{
+    if (this->is_closed) {
+        return;
+    }
+    if (this->done == nullptr) {
+        // Idle: either the peer closed the connection, or it sent bytes that belong to no request.
+        this->pool->remove_idle(this);
+        this->close();
+        return;
+    }
+    if (error == boost::asio::error::eof && this->decoder->decode_end() == decode_state::complete) {
+        this->answer = this->decoder->take();
+        this->answer.keeps_connection = false;
+        this->finish(exchange_end::answered, "");
+        return;
+    }
+    if (error) {
+        this->finish(exchange_end::broken, error.message());
+        return;
+    }
+    this->buffer.append(this->input.data(), size);
+    this->decode();
+}
+
+void client_connection::decode()
+{
+    const decode_state state = this->decoder->decode(this->buffer);
+    if (state == decode_state::incomplete) {
+        this->read();
+        return;
+    }
+    if (state != decode_state::complete) {
+        this->finish(exchange_end::broken, "the bytes are no HTTP answer");
+        return;
+    }
+    http_answer next = this->decoder->take();
+    if (this->request.is_own_answer && !this->request.is_own_answer(next)) {
+        if (!next.keeps_connection || ++this->passed_over > most_passed_over) {
+            this->finish(exchange_end::broken, "the answer belongs to another request");
+            return;
+        }
+        this->decoder.emplace(this->request.method, this->pool->body_limit);
+        this->decode();
+        return;
+    }
+    this->answer = std::move(next);
+    this->finish(exchange_end::answered, "");
+}
+
+void client_connection::finish(exchange_end end, std::string detail)
+{
+    const auto self = this->shared_from_this();
+    const auto function = std::exchange(this->done, nullptr);
+    if (function == nullptr) {
+        return;
+    }
+    const bool is_reusable = end == exchange_end::answered && this->is_written &&
+                             this->answer.keeps_connection && this->buffer.empty();
+    if (is_reusable) {
+        const time_point now = boot_clock::now();
+        const auto idle_time =
+            announced_idle_time(this->answer.headers).value_or(this->pool->idle_limit);
+        this->idle_since = now;
+        this->use_until = now + std::min(idle_time, this->pool->idle_limit);
+        this->arm_timer(this->use_until);
+        this->read();
+        this->pool->put_back(self);
+    }
+    else {
+        this->close();
+    }
+    function({end, std::move(this->answer), std::move(detail)});
+}
+
+void client_connection::cancel()
+{
+    this->finish(exchange_end::cancelled, "taken back");
+}
+
+void client_connection::arm_timer(time_point at)
+{
+    this->timer.expires_after(std::max<duration>(at - boot_clock::now(), duration::zero()));
+    this->timer.async_wait([weak = this->weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (error || self == nullptr || self->is_closed) {
+            return;
+        }
+        if (self->done != nullptr) {
+            const bool connected = self->is_connected;
+            self->finish(connected ? exchange_end::broken : exchange_end::not_sent,
+                         connected ? "no answer in time" : "no connection in time");
+            return;
+        }
+        self->pool->remove_idle(self.get());
+        self->close();
+    });
+}
+
+void client_connection::close()
+{
+    this->is_closed = true;
+    boost::system::error_code ignored;
+    this->timer.cancel();
+    this->socket.close(ignored);
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/http_codec.cpp
@@ -0,0 +1,203 @@
+#include "mesh/http_codec.hpp"
+
+#include <limits>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <fmt/format.h>
+
+namespace dragonflyroad {
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+/// Bytes of an answer's head; upstreams are trusted to stay far below it.
+constexpr std::size_t max_answer_header_bytes = 64U << 10U;
+
+template<typename Fields>
+http_headers copy_headers(const Fields& fields)
+{
+    http_headers headers;
+    for (const auto& field : fields) {
+        headers.push_back({std::string{field.name_string()}, std::string{field.value()}});
+    }
+    return headers;
+}
+
+decode_state to_state(const boost::system::error_code& error)
+{
+    if (!error || error == beast_http::error::need_more) {
+        return decode_state::incomplete;
+    }
+    if (error == beast_http::error::header_limit) {
+        return decode_state::header_too_large;
+    }
+    return error == beast_http::error::body_limit ? decode_state::body_too_large
+                                                  : decode_state::malformed;
+}
+
+/// Feeds the buffer to a parser until it is done, needs more or finds a fault.
+template<typename Parser>
+decode_state feed(Parser& parser, std::string& buffer)
+{
+    while (!parser.is_done() && !buffer.empty()) {
+        boost::system::error_code error;
+        const std::size_t used = parser.put(boost::asio::buffer(buffer), error);
+        buffer.erase(0, used);
+        if (error || used == 0) {
+            return to_state(error);
+        }
+    }
+    return parser.is_done() ? decode_state::complete : decode_state::incomplete;
+}
+
+} // namespace
+
+struct request_decoder::parser_holder {
+    beast_http::request_parser<beast_http::string_body> parser;
+    bool expectation_taken = false;
+};
+
+request_decoder::request_decoder(std::size_t max_header_bytes, std::size_t max_body_bytes)
+    : state(std::make_shared<parser_holder>())
+{
+    this->state->parser.eager(true);
+    this->state->parser.header_limit(static_cast<std::uint32_t>(max_header_bytes));
+    this->state->parser.body_limit(max_body_bytes);
+}
+
+decode_state request_decoder::decode(std::string& buffer)
+{
+    return feed(this->state->parser, buffer);
+}
+
+bool request_decoder::has_begun() const
+{
+    return this->state->parser.got_some();
+}
+
+bool request_decoder::take_expectation()
+{
+    parser_holder& holder = *this->state;
+    if (holder.expectation_taken || !holder.parser.is_header_done()) {
+        return false;
+    }
+    holder.expectation_taken = true;
+    return holder.parser.get()[beast_http::field::expect] == "100-continue";
+}
+
+http_request request_decoder::take()
+{
+    auto message = this->state->parser.release();
+    http_request request;
+    request.keeps_connection = message.keep_alive();
+    request.head.method = std::string{message.method_string()};
+    request.head.target = std::string{message.target()};
+    request.head.headers = copy_headers(message);
+    request.body = std::move(message.body());
+    return request;
+}
+
+struct answer_decoder::parser_holder {
+    using parser_type = beast_http::response_parser<beast_http::string_body>;
+
+    void reset()
+    {
+        this->parser.emplace();
+        this->parser->eager(true);
+        this->parser->header_limit(max_answer_header_bytes);
+        this->parser->body_limit(this->max_body_bytes);
+        this->parser->skip(this->has_no_body);
+    }
+
+    bool is_interim() const
+    {
+        return this->parser->is_header_done() && this->parser->get().result_int() < 200;
+    }
+
+    std::optional<parser_type> parser;
+    std::size_t max_body_bytes = 0;
+    bool has_no_body = false;
+};
+
+answer_decoder::answer_decoder(std::string_view request_method, std::size_t max_body_bytes)
+    : state(std::make_shared<parser_holder>())
+{
+    this->state->max_body_bytes = max_body_bytes;
+    this->state->has_no_body = request_method == "HEAD";
+    this->state->reset();
+}
+
+decode_state answer_decoder::decode(std::string& buffer)
+{
+    while (true) {
+        const decode_state result = feed(*this->state->parser, buffer);
+        if (result != decode_state::complete || !this->state->is_interim()) {
+            return result;
+        }
+        this->state->reset();
+    }
+}
+
+decode_state answer_decoder::decode_end()
+{
+    auto& parser = *this->state->parser;
+    if (!parser.is_header_done() || !parser.need_eof()) {
+        return decode_state::malformed;
+    }
+    boost::system::error_code error;
+    parser.put_eof(error);
+    return error ? decode_state::malformed : decode_state::complete;
+}
+
+http_answer answer_decoder::take()
+{
+    auto message = this->state->parser->release();
+    http_answer answer;
+    answer.status = static_cast<int>(message.result_int());
+    answer.headers = copy_headers(message);
+    answer.keeps_connection = message.keep_alive() && !message.need_eof();
+    answer.body = std::move(message.body());
+    return answer;
+}
+
+std::string encode_request(const request_head& head, std::string_view body)
+{
+    std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", head.method, head.target);
+    for (const http_header& header : head.headers) {
+        bytes += fmt::format("{}: {}\r\n", header.name, header.value);
+    }
+    const bool may_omit_length = head.method == "GET" || head.method == "HEAD" ||
+                                 head.method == "DELETE" || head.method == "OPTIONS";
+    if (!body.empty() || !may_omit_length) {
+        bytes += fmt::format("Content-Length: {}\r\n", body.size());
+    }
+    bytes += "\r\n";
+    bytes += body;
+    return bytes;
+}
+
+std::string encode_answer(const http_answer& answer, std::string_view request_method)
+{
+    std::string bytes =
+        fmt::format("HTTP/1.1 {} {}\r\n", answer.status, status_phrase(answer.status));
+    for (const http_header& header : answer.headers) {
+        bytes += fmt::format("{}: {}\r\n", header.name, header.value);
+    }
+    if (answer.status != 204 && answer.status != 304 && request_method != "HEAD") {
+        bytes += fmt::format("Content-Length: {}\r\n", answer.body.size());
+    }
+    if (!answer.keeps_connection) {
+        bytes += "Connection: close\r\n";
+    }
+    bytes += "\r\n";
+    if (request_method != "HEAD") {
+        bytes += answer.body;
+    }
+    return bytes;
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/http_server.cpp
@@ -0,0 +1,52 @@
+#include "mesh/http_server.hpp"
+
+#include "mesh/listener.hpp"
+#include "mesh/server_connection.hpp"
+
+#include <utility>
+
+namespace dragonflyroad {
+
+http_server::http_server(boost::asio::io_context& loop, server_callbacks callbacks)
+    : context(loop), acceptor(loop), handlers(std::move(callbacks))
+{
+}
+
+bool http_server::listen(const std::string& address)
+{
+    if (!open_listener(this->acceptor, address)) {
+        return false;
+    }
+    this->accept();
+    return true;
+}
+
+void http_server::accept()
+{
+    this->acceptor.async_accept(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+            if (!this->acceptor.is_open()) {
+                return;
+            }
+            if (!error) {
+                boost::system::error_code ignored;
+                socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+                auto connection = std::make_shared<server_connection>(*this, std::move(socket));
+                this->connections.insert(connection);
+                connection->start();
+            }
+            this->accept();
+        });
+}
+
+void http_server::close()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    const auto open = this->connections;
+    for (const auto& connection : open) {
+        connection->close();
+    }
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/link_message.cpp
@@ -0,0 +1,220 @@
+#include "mesh/link_message.hpp"
+
+#include "core/failure.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <utility>
+
+namespace dragonflyroad {
+namespace {
+
+using nlohmann::json;
+using milliseconds = std::chrono::milliseconds;
+
+/// Messages travel as arrays: the index of the type in link_message, then the fields in order.
+class field_writer {
+public:
+    explicit field_writer(std::size_t kind) : fields(json::array({kind})) {}
+
+    void operator()(const std::string& text) { this->fields.push_back(text); }
+    void operator()(std::uint64_t number) { this->fields.push_back(number); }
+    void operator()(bool flag) { this->fields.push_back(flag); }
+    void operator()(int number) { this->fields.push_back(number); }
+    void operator()(milliseconds span) { this->fields.push_back(span.count()); }
+    void operator()(const json& document) { this->fields.push_back(document); }
+    template<typename Tag>
+    void operator()(const identifier<Tag>& id)
+    {
+        this->fields.push_back(id.value);
+    }
+    void operator()(const std::vector<run_id>& ids) { this->fields.push_back(ids); }
+    void operator()(const work_rank& rank)
+    {
+        this->fields.push_back(
+            {rank.is_new_request, rank.organisation_priority, rank.route_priority});
+    }
+    void operator()(const http_headers& headers)
+    {
+        json pairs = json::array();
+        for (const http_header& header : headers) {
+            pairs.push_back(header.name);
+            pairs.push_back(header.value);
+        }
+        this->fields.push_back(std::move(pairs));
+    }
+    void operator()(const request_head& head)
+    {
+        (*this)(head.method);
+        (*this)(head.target);
+        (*this)(head.headers);
+    }
+    template<typename Enumeration>
+    requires std::is_enum_v<Enumeration>
+    void operator()(Enumeration value) { this->fields.push_back(static_cast<int>(value)); }
+
+    json fields;
+};
+
+class field_reader {
+public:
+    explicit field_reader(json document) : fields(std::move(document)) {}
+
+    template<typename Value>
+    void operator()(Value& value)
+    {
+        this->read(this->fields.at(this->next++), value);
+    }
+
+    bool is_finished() const { return this->next == this->fields.size(); }
+
+private:
+    static void read(const json& field, std::string& text) { text = field.get<std::string>(); }
+    static void read(const json& field, std::uint64_t& number)
+    {
+        number = field.get<std::uint64_t>();
+    }
+    static void read(const json& field, bool& flag) { flag = field.get<bool>(); }
+    static void read(const json& field, int& number) { number = field.get<int>(); }
+    static void read(const json& field, milliseconds& span)
+    {
+        span = milliseconds{field.get<std::int64_t>()};
+    }
+    static void read(const json& field, json& document) { document = field; }
+    template<typename Tag>
+    static void read(const json& field, identifier<Tag>& id)
+    {
+        id.value = field.get<std::string>();
+    }
+    static void read(const json& field, std::vector<run_id>& ids)
+    {
+        ids = field.get<std::vector<run_id>>();
+    }
+    static void read(const json& field, work_rank& rank)
+    {
+        rank = {field.at(0).get<bool>(), field.at(1).get<int>(), field.at(2).get<int>()};
+    }
+    static void read(const json& field, http_headers& headers)
+    {
+        for (std::size_t index = 0; index + 1 < field.size(); index += 2) {
+            headers.push_back(
+                {field[index].get<std::string>(), field[index + 1].get<std::string>()});
+        }
+    }
+    void read(const json& field, request_head& head)
+    {
+        head.method = field.get<std::string>();
+        (*this)(head.target);
+        (*this)(head.headers);
+    }
+    template<typename Enumeration>
+    requires std::is_enum_v<Enumeration>
+    static void read(const json& field, Enumeration& value)
+    {
+        value = static_cast<Enumeration>(field.get<int>());
+    }
+
+    json fields;
+    std::size_t next = 1;
+};
+
+// The fields of each message, in the order in which they travel; used for both directions.
+
+template<typename Archive>
+void visit_fields(Archive& archive, auto& message)
+{
+    using type = std::remove_cvref_t<decltype(message)>;
+    if constexpr (std::is_same_v<type, hello_message>) {
+        archive(message.node), archive(message.run), archive(message.address);
+        archive(message.open_runs);
+    }
+    else if constexpr (std::is_same_v<type, reserve_message>) {
+        archive(message.id), archive(message.service), archive(message.organisation);
+        archive(message.rank), archive(message.is_repeatable), archive(message.start_within);
+        archive(message.objective), archive(message.expected_run);
+    }
+    else if constexpr (std::is_same_v<type, place_message>) {
+        archive(message.id), archive(message.is_offer), archive(message.cost);
+    }
+    else if constexpr (std::is_same_v<type, decline_message>) {
+        archive(message.id), archive(message.reason), archive(message.wait);
+    }
+    else if constexpr (std::is_same_v<type, run_message>) {
+        archive(message.id), archive(message.time_left), archive(message.head);
+        archive(message.body);
+    }
+    else if constexpr (std::is_same_v<type, answer_message>) {
+        archive(message.id), archive(message.status), archive(message.headers);
+        archive(message.body), archive(message.elapsed);
+    }
+    else if constexpr (std::is_same_v<type, failed_message>) {
+        archive(message.id), archive(message.kind), archive(message.detail);
+    }
+    else if constexpr (std::is_same_v<type, quota_message>) {
+        archive(message.id), archive(message.organisation);
+    }
+    else if constexpr (std::is_same_v<type, quota_reply_message>) {
+        archive(message.id), archive(message.is_keeper), archive(message.is_admitted);
+        archive(message.retry_after);
+    }
+    else if constexpr (std::is_same_v<type, quota_return_message>) {
+        archive(message.organisation);
+    }
+    else if constexpr (std::is_same_v<type, currency_message>) {
+        archive(message.nonce), archive(message.revision);
+    }
+    else if constexpr (std::is_same_v<type, currency_reply_message>) {
+        archive(message.nonce), archive(message.revision), archive(message.has_proof);
+        archive(message.proof_age), archive(message.configuration);
+    }
+    else if constexpr (requires { message.id; }) {
+        archive(message.id);
+    }
+}
+
+template<std::size_t Index = 0>
+link_message read_message(std::size_t kind, field_reader& reader)
+{
+    if constexpr (Index < std::variant_size_v<link_message>) {
+        if (kind != Index) {
+            return read_message<Index + 1>(kind, reader);
+        }
+        std::variant_alternative_t<Index, link_message> message;
+        visit_fields(reader, message);
+        return message;
+    }
+    else {
+        throw std::out_of_range{"unknown kind of message"};
+    }
+}
+
+} // namespace
+
+std::string encode_link_message(const link_message& message)
+{
+    field_writer writer{message.index()};
+    std::visit([&](const auto& typed) { visit_fields(writer, typed); }, message);
+    std::string bytes;
+    json::to_cbor(writer.fields, bytes);
+    return bytes;
+}
+
+std::optional<link_message> decode_link_message(std::string_view bytes, const std::string& peer)
+{
+    try {
+        json document = json::from_cbor(bytes.begin(), bytes.end());
+        const auto kind = document.at(0).get<std::size_t>();
+        field_reader reader{std::move(document)};
+        link_message message = read_message(kind, reader);
+        if (!reader.is_finished()) {
+            return fail("decode message", peer, "it has fields that this version does not know");
+        }
+        return message;
+    }
+    catch (const std::exception& error) {
+        return fail("decode message", peer, error.what());
+    }
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/mesh_node.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "mesh/admission.hpp"
+#include "mesh/dispatcher.hpp"
+#include "mesh/fleet_state.hpp"
+#include "mesh/http_server.hpp"
+#include "mesh/link_table.hpp"
+#include "mesh/peer_listener.hpp"
+#include "mesh/quota_desk.hpp"
+#include "mesh/upstream_runner.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace dragonflyroad {
+
+/// Settings of a node beside one upstream, whose callers are on its own VM.
+struct mesh_settings {
+    node_id node;
+    data_centre centre;
+    /// The service of the upstream on this VM, told to the upstreams that run its requests.
+    service_name caller_service;
+    std::string caller_address;
+    std::string peer_address;
+    quota_tolerance quota;
+    repeat_limit repeats;
+    /// Age of the configuration's proof up to which requests with a key are served.
+    std::chrono::milliseconds proof_limit{4'700};
+    /// From the stop signal to the end of the process at the latest.
+    std::chrono::milliseconds stop_limit{5'500};
+    store_layout layout;
+    header_names names;
+};
+
+/// A node of the fleet beside an upstream: takes its VM's requests, finds each a slot at some
+/// upstream and hands it to the node there; runs what others hand over at its own upstream. One
+/// event loop carries all of it.
+class mesh_node {
+public:
+    mesh_node(boost::asio::io_context& loop, mesh_settings options, shared_store& store,
+              fleet_state::decode_function decode);
+
+    /// False when an address cannot be used; see last_failure().
+    bool start();
+    /// Takes no new work for the upstream, lets callers finish and then calls `stopped`.
+    void stop(std::function<void()> stopped);
+
+    /// Whether callers may be sent here.
+    bool is_ready() const;
+    report_verdict report(const upstream_report& report) { return this->runner.report(report); }
+    bool leave(const std::string& id) { return this->runner.leave(id); }
+
+    const mesh_settings& settings() const { return this->options; }
+    std::string metrics_text() const { return this->requests.counters.to_prometheus(); }
+
+private:
+    server_callbacks caller_callbacks();
+    link_table::callbacks link_callbacks();
+    quota_desk::callbacks quota_callbacks();
+    fleet_state::callbacks state_callbacks(fleet_state::decode_function decode);
+    peer_listener::callbacks peer_callbacks();
+
+    std::shared_ptr<served_request> serve(http_request request, time_point arrived,
+                                          answer_function answer);
+    http_answer refusal_answer(const refused_admission& refused);
+    void send(const node_id& to, const link_message& message);
+    void receive(const node_id& from, link_message message);
+    void on_peer_message(const node_id& from, link_message message,
+                         const upstream_runner::reply_function& reply);
+    void receive_currency(const node_id& from, const currency_reply_message& reply);
+    currency_reply_message answer_currency(const currency_message& question) const;
+    void ask_currency();
+    void arm_watchdog();
+    void publish();
+    void check_stop();
+    void add_metrics();
+
+    boost::asio::io_context& context;
+    mesh_settings options;
+    incarnation run = 0;
+    dispatcher requests;
+    upstream_runner runner;
+    fleet_state state;
+    quota_desk quota;
+    link_table links;
+    peer_listener peers;
+    http_server callers;
+    boost::asio::steady_timer watchdog;
+    boost::asio::steady_timer stop_timer;
+    std::map<std::uint64_t, time_point> currency_questions;
+    std::uint64_t last_nonce = 0;
+    std::function<void()> on_stopped;
+    time_point stop_began{};
+    time_point stop_by{};
+};
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/peer_listener.cpp
@@ -0,0 +1,113 @@
+#include "mesh/peer_listener.hpp"
+
+#include "adapters/log.hpp"
+#include "mesh/listener.hpp"
+
+#include <utility>
+
+namespace dragonflyroad {
+
+peer_listener::peer_listener(boost::asio::io_context& loop, link_identity identity,
+                             callbacks functions)
+    : context(loop), acceptor(loop), self(std::move(identity)), handlers(std::move(functions))
+{
+}
+
+bool peer_listener::listen(const std::string& address)
+{
+    if (!open_listener(this->acceptor, address)) {
+        return false;
+    }
+    this->accept();
+    return true;
+}
+
+void peer_listener::accept()
+{
+    this->acceptor.async_accept(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+            if (!this->acceptor.is_open()) {
+                return;
+            }
+            if (!error) {
+                link::callbacks functions;
+                functions.receive = [this](link& from, link_message message) {
+                    this->on_message(from, std::move(message));
+                };
+                functions.closed = [this](link& ended, const std::string& reason) {
+                    this->on_closed(ended, reason);
+                };
+                // The node that opened the link watches over it.
+                functions.expects_traffic = [] { return false; };
+                auto accepted = std::make_shared<link>(std::move(socket), "", std::move(functions));
+                this->links.insert(accepted);
+                accepted->start();
+            }
+            this->accept();
+        });
+}
+
+void peer_listener::on_message(link& from, link_message message)
+{
+    if (const auto* hello = std::get_if<hello_message>(&message)) {
+        this->on_hello(from, *hello);
+        return;
+    }
+    const auto sender = this->senders.find(&from);
+    if (sender == this->senders.end()) {
+        from.close("no hello came first");
+        return;
+    }
+    const node_id node = sender->second;
+    const std::weak_ptr<link> weak = from.weak_from_this();
+    this->handlers.receive(node, std::move(message), [weak](link_message reply) {
+        if (const auto open = weak.lock()) {
+            open->send(reply);
+        }
+    });
+}
+
+void peer_listener::on_hello(link& from, const hello_message& hello)
+{
+    const auto before = this->current.find(hello.node);
+    if (before != this->current.end() && before->second != &from) {
+        before->second->close("replaced");
+    }
+    this->current[hello.node] = &from;
+    this->senders[&from] = hello.node;
+    from.send(hello_message{this->self.node, this->self.run, this->self.address, {}});
+    const std::weak_ptr<link> weak = from.weak_from_this();
+    this->handlers.opened(hello.node, hello, [weak](link_message reply) {
+        if (const auto open = weak.lock()) {
+            open->send(reply);
+        }
+    });
+}
+
+void peer_listener::on_closed(link& ended, const std::string& reason)
+{
+    const auto sender = this->senders.find(&ended);
+    if (sender != this->senders.end()) {
+        const node_id node = sender->second;
+        this->senders.erase(sender);
+        const auto found = this->current.find(node);
+        if (found != this->current.end() && found->second == &ended) {
+            this->current.erase(found);
+            log_line{"peer_link_closed"}.add("peer", node.value).add("detail", reason);
+            this->handlers.closed(node);
+        }
+    }
+    this->links.erase(ended.shared_from_this());
+}
+
+void peer_listener::close()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    const auto open = this->links;
+    for (const auto& accepted : open) {
+        accepted->close("stopping");
+    }
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/peer_listener.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "mesh/link.hpp"
+#include "mesh/link_table.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace dragonflyroad {
+
+/// Takes the links that other nodes open. A node has one such link at a time; a new one ends the
+/// one before, so that nothing sent on that can still arrive.
+class peer_listener {
+public:
+    using send_function = std::function<void(link_message)>;
+
+    struct callbacks {
+        std::function<void(const node_id& from, const hello_message&, send_function reply)> opened;
+        std::function<void(const node_id& from, link_message, const send_function& reply)> receive;
+        std::function<void(const node_id& from)> closed;
+    };
+
+    peer_listener(boost::asio::io_context& loop, link_identity identity, callbacks functions);
+
+    /// False when the address cannot be used; see last_failure().
+    bool listen(const std::string& address);
+    void close();
+
+private:
+    void accept();
+    void on_message(link& from, link_message message);
+    void on_hello(link& from, const hello_message& hello);
+    void on_closed(link& ended, const std::string& reason);
+
+    boost::asio::io_context& context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    link_identity self;
+    callbacks handlers;
+    std::set<std::shared_ptr<link>> links;
+    std::map<node_id, link*> current;
+    std::map<const link*, node_id> senders;
+};
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/run_times.cpp
@@ -0,0 +1,36 @@
+#include "mesh/run_times.hpp"
+
+namespace dragonflyroad {
+namespace {
+
+/// Weight of one run; run times spread by about their mean.
+constexpr double run_weight = 0.08;
+
+/// Routes that are remembered; a configuration of 64,000 routes stays below 10 MB.
+constexpr std::size_t most_means = 70'000;
+
+} // namespace
+
+void run_times::note(const service_name& service, const route_name& route,
+                     std::chrono::milliseconds elapsed)
+{
+    if (this->means.size() >= most_means) {
+        this->means.clear();
+    }
+    const auto seen = static_cast<double>(elapsed.count());
+    const auto [place, is_new] = this->means.try_emplace({service, route}, seen);
+    if (!is_new) {
+        place->second += (seen - place->second) * run_weight;
+    }
+}
+
+std::chrono::milliseconds run_times::expected(const service_name& service, const route_name& route,
+                                              std::chrono::milliseconds fallback) const
+{
+    const auto found = this->means.find({service, route});
+    return found == this->means.end()
+               ? fallback
+               : std::chrono::milliseconds{static_cast<std::int64_t>(found->second)};
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/server_connection.cpp
@@ -0,0 +1,272 @@
+#include "mesh/server_connection.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+
+namespace dragonflyroad {
+namespace {
+
+/// Requests of one connection that are read ahead; the rest stays in the socket.
+constexpr std::size_t most_open_requests = 16;
+
+} // namespace
+
+server_connection::server_connection(http_server& owner, boost::asio::ip::tcp::socket accepted)
+    : server(owner),
+      socket(std::move(accepted)),
+      timer(owner.context),
+      decoder(owner.handlers.limits().header_bytes, owner.handlers.limits().body_bytes)
+{
+}
+
+void server_connection::start()
+{
+    this->arm_timer();
+    this->read();
+}
+
+void server_connection::close()
+{
+    if (std::exchange(this->is_closed, true)) {
+        return;
+    }
+    const auto self = this->shared_from_this();
+    boost::system::error_code ignored;
+    this->timer.cancel();
+    this->socket.close(ignored);
+    for (const slot_pointer& entry : this->slots) {
+        if (entry->is_started && !entry->answer && entry->served != nullptr) {
+            entry->served->cancel();
+        }
+        entry->served.reset();
+    }
+    this->server.unanswered -= this->slots.size();
+    this->slots.clear();
+    this->server.connections.erase(self);
+}
+
+void server_connection::read()
+{
+    if (this->is_closed || this->is_reading || this->slots.size() >= most_open_requests) {
+        return;
+    }
+    this->is_reading = true;
+    this->socket.async_read_some(boost::asio::buffer(this->input),
+                                 [self = this->shared_from_this()](
+                                     const boost::system::error_code& error, std::size_t size) {
+                                     self->is_reading = false;
+                                     if (error) {
+                                         self->close();
+                                         return;
+                                     }
+                                     self->on_read(size);
+                                 });
+}
+
+void server_connection::on_read(std::size_t size)
+{
+    if (this->is_closed) {
+        return;
+    }
+    this->buffer.append(this->input.data(), size);
+    this->decode();
+    this->read();
+}
+
+void server_connection::decode()
+{
+    while (!this->is_closed && this->takes_requests && !this->buffer.empty() &&
+           this->slots.size() < most_open_requests) {
+        const decode_state state = this->decoder.decode(this->buffer);
+        if (state == decode_state::incomplete) {
+            if (this->decoder.take_expectation() && this->slots.empty()) {
+                static const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+                boost::system::error_code ignored;
+                this->socket.write_some(boost::asio::buffer(go_on), ignored);
+            }
+            break;
+        }
+        if (state != decode_state::complete) {
+            this->reject(state);
+            break;
+        }
+        this->add_request(this->decoder.take());
+        const caller_limits limits = this->server.handlers.limits();
+        this->decoder = request_decoder{limits.header_bytes, limits.body_bytes};
+    }
+    this->start_requests();
+    this->arm_timer();
+}
+
+void server_connection::add_request(http_request request)
+{
+    auto entry = std::make_shared<slot>();
+    this->takes_requests = request.keeps_connection;
+    entry->request = std::move(request);
+    entry->arrived = boot_clock::now();
+    this->slots.push_back(std::move(entry));
+    ++this->server.unanswered;
+}
+
+void server_connection::reject(decode_state state)
+{
+    this->takes_requests = false;
+    this->buffer.clear();
+    auto entry = std::make_shared<slot>();
+    entry->is_started = true;
+    entry->answer = this->server.handlers.reject(state);
+    entry->answer->keeps_connection = false;
+    this->slots.push_back(entry);
+    ++this->server.unanswered;
+    this->write();
+}
+
+void server_connection::start_requests()
+{
+    bool is_first = true;
+    // Starting a request may answer it and change the queue, so a copy is walked.
+    const std::deque<slot_pointer> waiting = this->slots;
+    for (const slot_pointer& entry : waiting) {
+        if (this->is_closed) {
+            return;
+        }
+        if (!entry->is_started &&
+            (is_first || this->server.handlers.may_overtake(entry->request.head))) {
+            this->start_request(entry);
+        }
+        else if (!entry->is_started) {
+            return;
+        }
+        is_first = false;
+    }
+}
+
+void server_connection::start_request(const slot_pointer& entry)
+{
+    entry->is_started = true;
+    const bool keeps_connection = entry->request.keeps_connection;
+    http_request request = entry->request;
+    const std::weak_ptr<server_connection> weak = this->weak_from_this();
+    auto served = this->server.handlers.serve(
+        std::move(request), entry->arrived, [weak, entry, keeps_connection](http_answer answer) {
+            const auto self = weak.lock();
+            if (self == nullptr || self->is_closed || entry->answer) {
+                return;
+            }
+            answer.keeps_connection =
+                answer.keeps_connection && keeps_connection && !self->server.stopping;
+            self->set_answer(entry, std::move(answer));
+        });
+    if (!entry->answer) {
+        entry->served = std::move(served);
+    }
+}
+
+void server_connection::set_answer(const slot_pointer& entry, http_answer answer)
+{
+    entry->answer = std::move(answer);
+    entry->served.reset();
+    this->write();
+}
+
+void server_connection::write()
+{
+    if (this->is_writing || this->is_closed || this->slots.empty() ||
+        !this->slots.front()->answer) {
+        return;
+    }
+    const slot_pointer entry = this->slots.front();
+    const bool keeps_connection = entry->answer->keeps_connection;
+    this->output = encode_answer(*entry->answer, entry->request.head.method);
+    this->is_writing = true;
+    boost::asio::async_write(this->socket, boost::asio::buffer(this->output),
+                             [self = this->shared_from_this(), keeps_connection](
+                                 const boost::system::error_code& error, std::size_t) {
+                                 self->is_writing = false;
+                                 if (error) {
+                                     self->close();
+                                     return;
+                                 }
+                                 self->on_written(keeps_connection);
+                             });
+}
+
+void server_connection::on_written(bool keeps_connection)
+{
+    if (this->is_closed) {
+        return;
+    }
+    this->slots.pop_front();
+    --this->server.unanswered;
+    if (!keeps_connection) {
+        // Ends the stream in order; a close with unread bytes would reset it and could cost the
+        // caller the answer.
+        boost::system::error_code ignored;
+        this->takes_requests = false;
+        this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        this->server.unanswered -= this->slots.size();
+        const auto behind = std::exchange(this->slots, {});
+        for (const slot_pointer& entry : behind) {
+            if (entry->served != nullptr) {
+                entry->served->cancel();
+            }
+        }
+        this->arm_timer();
+        return;
+    }
+    this->decode();
+    this->write();
+    this->read();
+}
+
+void server_connection::arm_timer()
+{
+    if (this->is_closed) {
+        return;
+    }
+    const caller_limits limits = this->server.handlers.limits();
+    std::chrono::milliseconds wait = limits.idle_timeout;
+    if (!this->takes_requests && this->slots.empty()) {
+        // The caller has its answer and closes; a second covers a slow link.
+        wait = std::chrono::milliseconds{1'000};
+    }
+    else if (this->decoder.has_begun()) {
+        wait = limits.header_timeout;
+    }
+    this->timer.expires_after(wait);
+    this->timer.async_wait([weak = this->weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr) {
+            self->on_timer();
+        }
+    });
+}
+
+void server_connection::on_timer()
+{
+    if (this->is_closed) {
+        return;
+    }
+    if (!this->slots.empty()) {
+        this->arm_timer();
+        return;
+    }
+    if (this->takes_requests && this->decoder.has_begun()) {
+        http_answer answer;
+        answer.status = 408;
+        answer.keeps_connection = false;
+        auto entry = std::make_shared<slot>();
+        entry->is_started = true;
+        entry->answer = answer;
+        this->takes_requests = false;
+        this->slots.push_back(entry);
+        ++this->server.unanswered;
+        this->write();
+        return;
+    }
+    this->close();
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/shared_store.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dragonflyroad {
+
+using store_revision = std::uint64_t;
+using store_lease = std::uint64_t;
+
+struct stored_item {
+    std::string key;
+    std::string value;
+    store_revision revision = 0;
+    bool is_removed = false;
+};
+
+/// Items and the store's revision at or before the time of reading.
+struct stored_range {
+    std::vector<stored_item> items;
+    store_revision revision = 0;
+};
+
+struct stored_changes {
+    std::vector<stored_item> items;
+    store_revision revision = 0;
+    /// The changes since the revision asked for are not known any more; everything is to be read.
+    bool is_history_lost = false;
+};
+
+/// A key that must be unchanged since a revision for a commit to take place; 0 means absent.
+struct commit_condition {
+    std::string key;
+    store_revision revision = 0;
+};
+
+struct commit_write {
+    std::string key;
+    std::string value;
+    /// 0 for none; otherwise the key is removed when the lease ends.
+    store_lease lease = 0;
+};
+
+struct commit_request {
+    std::vector<commit_condition> conditions;
+    std::vector<commit_write> writes;
+    std::vector<std::string> removals;
+};
+
+enum class commit_outcome { committed, conflict, lease_ended, unknown };
+
+enum class lease_outcome { kept, ended, unknown };
+
+struct lease_grant {
+    store_lease lease = 0;
+    std::chrono::milliseconds time_to_live{0};
+};
+
+/// The platform's key-value store, without waiting. Callbacks are called once, on the event loop; a
+/// result that is missing leaves its reason in last_failure().
+class shared_store {
+public:
+    shared_store() = default;
+    shared_store(const shared_store&) = delete;
+    shared_store& operator=(const shared_store&) = delete;
+    shared_store(shared_store&&) = delete;
+    shared_store& operator=(shared_store&&) = delete;
+    virtual ~shared_store() = default;
+
+    /// All items whose key begins with the prefix.
+    virtual void read(const std::string& prefix,
+                      std::function<void(std::optional<stored_range>)> done) = 0;
+    /// Changes after a revision; waits for the first one up to `wait`.
+    virtual void watch(const std::string& prefix, store_revision after,
+                       std::chrono::milliseconds wait,
+                       std::function<void(std::optional<stored_changes>)> done) = 0;
+    virtual void commit(const commit_request& request,
+                        std::function<void(commit_outcome)> done) = 0;
+    virtual void grant_lease(std::chrono::milliseconds time_to_live,
+                             std::function<void(std::optional<lease_grant>)> done) = 0;
+    virtual void keep_lease(store_lease lease, std::function<void(lease_outcome)> done) = 0;
+    virtual void end_lease(store_lease lease) = 0;
+};
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/vm_directory.cpp
@@ -0,0 +1,54 @@
+#include "mesh/vm_directory.hpp"
+
+#include "core/failure.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflyroad {
+
+std::string vm_entry::to_text() const
+{
+    const nlohmann::json document{{"node", this->node.value},       {"run", this->run},
+                                  {"address", this->address},       {"centre", this->centre.value},
+                                  {"service", this->service.value}, {"slots", this->slots}};
+    return document.dump();
+}
+
+std::optional<vm_entry> vm_entry::from_text(const std::string& text, const std::string& source)
+{
+    try {
+        const auto document = nlohmann::json::parse(text);
+        vm_entry entry;
+        entry.node = node_id{document.at("node").get<std::string>()};
+        entry.run = document.at("run").get<incarnation>();
+        entry.address = document.at("address").get<std::string>();
+        entry.centre = data_centre{document.at("centre").get<std::string>()};
+        entry.service = service_name{document.at("service").get<std::string>()};
+        entry.slots = document.at("slots").get<std::uint32_t>();
+        return entry;
+    }
+    catch (const nlohmann::json::exception& error) {
+        return fail("decode node entry", source, error.what());
+    }
+}
+
+const vm_entry* vm_directory::find(const node_id& node) const
+{
+    const auto found = this->entries.find(node);
+    return found == this->entries.end() ? nullptr : &found->second;
+}
+
+std::vector<placement_candidate> vm_directory::candidates(const service_name& service,
+                                                          const node_id& self,
+                                                          const data_centre& centre) const
+{
+    std::vector<placement_candidate> found;
+    for (const auto& [node, entry] : this->entries) {
+        if (entry.service == service) {
+            found.push_back({node, entry.centre == centre, node == self});
+        }
+    }
+    return found;
+}
+
+} // namespace dragonflyroad
--- /dev/null
+++ b/src/mesh/vm_directory.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "dispatch/placement.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace dragonflyroad {
+
+/// What a node publishes about itself.
+struct vm_entry {
+    node_id node;
+    incarnation run = 0;
+    /// Where it accepts links.
+    std::string address;
+    data_centre centre;
+    /// The service of the upstream beside it; empty while that takes no new work.
+    service_name service;
+    std::uint32_t slots = 0;
+
+    bool operator==(const vm_entry&) const = default;
+
+    std::string to_text() const;
+    /// Nothing when the text is no entry; see last_failure().
+    static std::optional<vm_entry> from_text(const std::string& text, const std::string& source);
+};
+
+/// The nodes that this node knows, and the upstreams beside them.
+class vm_directory {
+public:
+    void put(const vm_entry& entry) { this->entries[entry.node] = entry; }
+    void remove(const node_id& node) { this->entries.erase(node); }
+
+    const vm_entry* find(const node_id& node) const;
+    std::size_t size() const { return this->entries.size(); }
+    const std::map<node_id, vm_entry>& all() const { return this->entries; }
+
+    /// The VMs whose upstream is of the service.
+    std::vector<placement_candidate> candidates(const service_name& service, const node_id& self,
+                                                const data_centre& centre) const;
+
+private:
+    std::map<node_id, vm_entry> entries;
+};
+
+} // namespace dragonflyroad
--- a/src/node/refusal.cpp
+++ b/src/node/refusal.cpp
@@ -1,14 +1,25 @@
 #include "node/refusal.hpp"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace dragonflyroad {
+namespace {
+
+std::string seconds_text(std::chrono::milliseconds time)
+{
+    const bool is_whole = time.count() % 1000 == 0;
+    return is_whole ? std::to_string(time.count() / 1000)
+                    : fmt::format("{:.3f}", static_cast<double>(time.count()) / 1000);
+}
+
+} // namespace
 
 http_headers refusal_headers(const refusal& refused, const std::string& id)
 {
     http_headers headers{{"Content-Type", "application/problem+json"}, {"X-Request-Id", id}};
     if (refused.retry_after) {
-        headers.push_back({"Retry-After", std::to_string(refused.retry_after->count())});
+        headers.push_back({"Retry-After", seconds_text(*refused.retry_after)});
     }
     if (describe(refused.reason).status == 401) {
         headers.push_back({"WWW-Authenticate", "Bearer"});
--- a/src/node/refusal.hpp
+++ b/src/node/refusal.hpp
@@ -19,8 +19,8 @@
     /// The profile that decided, where a policy did.
     std::optional<profile_name> profile;
     revision_number revision = 0;
-    /// Absent where waiting does not help.
-    std::optional<std::chrono::seconds> retry_after;
+    /// Absent where waiting does not help. Sent in seconds, with a fraction where it has one.
+    std::optional<std::chrono::milliseconds> retry_after;
 };
 
 /// Headers of the answer that carries the refusal.
