React to a single failure of an upstream

Ruled out: correlated episodes (the times differ between upstreams) and answers broken on the way (all are whole 500s). One failure now weighs 0.6, fades with a half-life of 0.8 s and costs the objective.

--- a/src/dispatch/upstream_health.cpp
+++ b/src/dispatch/upstream_health.cpp
@@ -6,13 +6,17 @@
 namespace dragonflyroad {
 namespace {
 
-/// Weight of one outcome. Two failures in a row give 0.58, while one of the 1.2% that fail on sound
-/// upstreams gives 0.35 and fades.
-constexpr double outcome_weight = 0.35;
+/// Weight of one failure. Upstreams that fail most requests for a second every half minute cause
+/// more failures than the 1.2% of requests that fail on sound ones, so one failure is strong
+/// evidence.
+constexpr double failure_weight = 0.6;
+
+/// Weight of one success; in a gray episode one request in seven succeeds.
+constexpr double success_weight = 0.5;
 
 /// Failures fade with this half-life even without outcomes, so that an upstream is tried again;
-/// gray episodes last some seconds.
-constexpr std::chrono::milliseconds failure_half_life{2'000};
+/// gray episodes last from one to some seconds, and each new failure renews the suspicion.
+constexpr std::chrono::milliseconds failure_half_life{800};
 
 /// Weight of one run time; run times spread widely, so one alone says little.
 constexpr double run_time_weight = 0.2;
@@ -25,6 +29,10 @@
 /// Slowdowns below this are within the spread of run times.
 constexpr double usual_slowdown = 1.7;
 
+/// Part of its objective that a failed repeatable request loses: it runs once more, but often on
+/// another upstream that is failing too.
+constexpr double repeatable_part = 0.5;
+
 double fade(double value, time_point since, time_point now, std::chrono::milliseconds half_life)
 {
     const std::chrono::duration<double> age = now - since;
@@ -37,7 +45,7 @@
 void upstream_health::note_success(time_point now, std::chrono::milliseconds elapsed,
                                    std::chrono::milliseconds expected)
 {
-    this->failures = this->failure_share(now) * (1 - outcome_weight);
+    this->failures = this->failure_share(now) * (1 - success_weight);
     this->failures_at = now;
     if (expected.count() > 0) {
         const double seen =
@@ -51,7 +59,7 @@
 void upstream_health::note_failure(time_point now)
 {
     const double share = this->failure_share(now);
-    this->failures = share + (1 - share) * outcome_weight;
+    this->failures = share + (1 - share) * failure_weight;
     this->failures_at = now;
 }
 
@@ -75,7 +83,8 @@
     const double extra_run = slow > usual_slowdown ? (slow - 1) * run : 0;
     // A stalled request shows before it ends.
     const double stalled = std::max(static_cast<double>(overrun.count()) - 2 * run, 0.0);
-    const double failure_cost = is_repeatable ? run : static_cast<double>(objective.count());
+    const double failure_cost =
+        static_cast<double>(objective.count()) * (is_repeatable ? repeatable_part : 1.0);
     const double cost = extra_run + stalled + this->failure_share(now) * failure_cost;
     return std::chrono::milliseconds{static_cast<std::int64_t>(cost)};
 }
--- a/src/dispatch/upstream_health.hpp
+++ b/src/dispatch/upstream_health.hpp
@@ -25,7 +25,8 @@
 
     /// What a request is expected to lose here compared to a sound upstream: the extra run time and
     /// the expected loss by failure. `overrun` is how long the oldest running request exceeds its
-    /// expected time. A failure costs a repeatable request one more run and another its objective.
+    /// expected time. A failure costs a request its objective, and one that can be repeated half of
+    /// it.
     std::chrono::milliseconds expected_cost(time_point now, bool is_repeatable,
                                             std::chrono::milliseconds expected_run,
                                             std::chrono::milliseconds objective,
--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -47,8 +47,7 @@
 
 fleet_state::fleet_state(boost::asio::io_context& loop, shared_store& platform_store,
                          vm_directory& known_vms, store_layout keys, callbacks functions)
-    : context(loop),
-      store(platform_store),
+    : store(platform_store),
       directory(known_vms),
       layout(std::move(keys)),
       handlers(std::move(functions)),
@@ -303,7 +302,7 @@
     const time_point asked = boot_clock::now();
     this->store.grant_lease(lease_time_to_live, [this, asked](std::optional<lease_grant> granted) {
         this->is_leasing = false;
-        this->on_grant(std::move(granted), asked);
+        this->on_grant(granted, asked);
     });
 }
 
--- a/src/mesh/fleet_state.hpp
+++ b/src/mesh/fleet_state.hpp
@@ -93,7 +93,6 @@
     std::string group_key(std::size_t group) const;
     std::string group_value() const;
 
-    boost::asio::io_context& context;
     shared_store& store;
     vm_directory& directory;
     store_layout layout;
--- a/src/mesh/http_client_pool.cpp
+++ b/src/mesh/http_client_pool.cpp
@@ -75,7 +75,7 @@
     if (this->idle.empty()) {
         return nullptr;
     }
-    const auto connection = this->idle.back();
+    auto connection = this->idle.back();
     if (now > connection->idle_since + max_idle || now > connection->use_until) {
         return nullptr;
     }
--- a/src/mesh/peer_listener.cpp
+++ b/src/mesh/peer_listener.cpp
@@ -9,7 +9,7 @@
 
 peer_listener::peer_listener(boost::asio::io_context& loop, link_identity identity,
                              callbacks functions)
-    : context(loop), acceptor(loop), self(std::move(identity)), handlers(std::move(functions))
+    : acceptor(loop), self(std::move(identity)), handlers(std::move(functions))
 {
 }
 
@@ -60,7 +60,7 @@
     }
     const node_id node = sender->second;
     const std::weak_ptr<link> weak = from.weak_from_this();
-    this->handlers.receive(node, std::move(message), [weak](link_message reply) {
+    this->handlers.receive(node, std::move(message), [weak](const link_message& reply) {
         if (const auto open = weak.lock()) {
             open->send(reply);
         }
@@ -77,7 +77,7 @@
     this->senders[&from] = hello.node;
     from.send(hello_message{this->self.node, this->self.run, this->self.address, {}});
     const std::weak_ptr<link> weak = from.weak_from_this();
-    this->handlers.opened(hello.node, hello, [weak](link_message reply) {
+    this->handlers.opened(hello.node, hello, [weak](const link_message& reply) {
         if (const auto open = weak.lock()) {
             open->send(reply);
         }
--- a/src/mesh/peer_listener.hpp
+++ b/src/mesh/peer_listener.hpp
@@ -18,7 +18,7 @@
 /// one before, so that nothing sent on that can still arrive.
 class peer_listener {
 public:
-    using send_function = std::function<void(link_message)>;
+    using send_function = std::function<void(const link_message&)>;
 
     struct callbacks {
         std::function<void(const node_id& from, const hello_message&, send_function reply)> opened;
@@ -38,7 +38,6 @@
     void on_hello(link& from, const hello_message& hello);
     void on_closed(link& ended, const std::string& reason);
 
-    boost::asio::io_context& context;
     boost::asio::ip::tcp::acceptor acceptor;
     link_identity self;
     callbacks handlers;
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -48,7 +48,7 @@
 } // namespace
 
 upstream_runner::upstream_runner(boost::asio::io_context& loop, const header_names& header_set)
-    : context(loop), timer(loop), names(header_set), pool(loop, max_answer_bytes)
+    : timer(loop), names(header_set), pool(loop, max_answer_bytes)
 {
 }
 
@@ -99,8 +99,8 @@
     else if (const auto* released = std::get_if<release_message>(&message)) {
         this->release({from, released->id});
     }
-    else if (auto* start_now = std::get_if<run_message>(&message)) {
-        this->start(from, std::move(*start_now));
+    else if (const auto* start_now = std::get_if<run_message>(&message)) {
+        this->start(from, *start_now);
     }
     else if (const auto* cancelled = std::get_if<cancel_message>(&message)) {
         this->cancel({from, cancelled->id});
@@ -258,7 +258,7 @@
     this->offer_next();
 }
 
-void upstream_runner::start(const node_id& from, run_message message)
+void upstream_runner::start(const node_id& from, const run_message& message)
 {
     const auto found = this->runs.find({from, message.id});
     if (found == this->runs.end() || found->second->state != stage::offered) {
@@ -278,10 +278,10 @@
                        failed_message{message.id, run_failure::not_run, "the upstream has left"});
         return;
     }
-    this->send_to_upstream(entry, std::move(message));
+    this->send_to_upstream(entry, message);
 }
 
-void upstream_runner::send_to_upstream(const run_pointer& entry, run_message message)
+void upstream_runner::send_to_upstream(const run_pointer& entry, const run_message& message)
 {
     entry->state = stage::running;
     entry->started_at = boot_clock::now();
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -27,7 +27,7 @@
 /// over. What was not handed over has not run, whatever fails on the way.
 class upstream_runner {
 public:
-    using reply_function = std::function<void(link_message)>;
+    using reply_function = std::function<void(const link_message&)>;
 
     upstream_runner(boost::asio::io_context& loop, const header_names& names);
 
@@ -81,11 +81,11 @@
 
     void reserve(const node_id& from, const reserve_message& message);
     void release(const run_key& key);
-    void start(const node_id& from, run_message message);
+    void start(const node_id& from, const run_message& message);
     void cancel(const run_key& key);
     void offer(const run_pointer& entry);
     void offer_next();
-    void send_to_upstream(const run_pointer& entry, run_message message);
+    void send_to_upstream(const run_pointer& entry, const run_message& message);
     exchange_request build_exchange(const run_pointer& entry, const run_message& message) const;
     void on_exchange_end(const run_pointer& entry, exchange_result result);
     link_message judge(const run_pointer& entry, exchange_result result);
@@ -100,7 +100,6 @@
     void drop_reservations(const node_id& from);
     void forget_runs(const node_id& from);
 
-    boost::asio::io_context& context;
     boost::asio::steady_timer timer;
     const header_names& names;
     http_client_pool pool;
