--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -94,7 +94,7 @@
     this->shortest_wait = decision.retry_after;
     this->refuse(decision.verdict == quota_verdict::over_limit ? refusal_reason::organisation_rate
                                                                : refusal_reason::rights_unproved,
-                 ran::no, "");
+                 ran::no, decision.evidence);
 }
 
 milliseconds dispatched_request::expected_run() const
--- a/src/mesh/fleet_state.cpp
+++ b/src/mesh/fleet_state.cpp
@@ -74,7 +74,7 @@
 void fleet_state::start(const vm_entry& own)
 {
     this->self = own;
-    this->started_at = boot_clock::now();
+    this->vacant_since.fill(boot_clock::now() + first_claim_delay);
     this->directory.put(own);
     this->read_all();
     this->grant();
@@ -410,8 +410,7 @@
 void fleet_state::claim_groups()
 {
     const time_point now = boot_clock::now();
-    if (this->is_stopping || !this->is_reachable || !this->is_lease_valid(now) ||
-        now < this->started_at + first_claim_delay) {
+    if (this->is_stopping || !this->is_reachable || !this->is_lease_valid(now)) {
         return;
     }
     for (std::size_t group = 0; group < quota_group_count; ++group) {
--- a/src/mesh/fleet_state.hpp
+++ b/src/mesh/fleet_state.hpp
@@ -113,7 +113,6 @@
     std::array<time_point, quota_group_count> vacant_since{};
     std::set<std::size_t> held;
     std::set<std::size_t> claiming;
-    time_point started_at{};
     bool is_reachable = false;
     bool is_leasing = false;
     bool is_entry_written = false;
--- a/src/mesh/quota_desk.cpp
+++ b/src/mesh/quota_desk.cpp
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace dragonflyroad {
 namespace {
 
@@ -13,6 +15,15 @@
 
 } // namespace
 
+namespace {
+
+std::string describe_limit(const organisation_limit& limit)
+{
+    return fmt::format("rate {}/s, burst {}", limit.rate_per_second, limit.burst);
+}
+
+} // namespace
+
 std::size_t quota_group(const organisation_id& organisation)
 {
     return static_cast<std::size_t>(stable_hash(organisation.value) % quota_group_count);
@@ -32,14 +43,15 @@
 {
     const organisation_limit limit = this->handlers.limit_of(organisation);
     if (!limit.is_limited()) {
-        done({quota_verdict::admitted, {}, false});
+        done({quota_verdict::admitted, {}, false, ""});
         return;
     }
     const std::size_t group = quota_group(organisation);
     if (this->handlers.is_held(group)) {
         const auto wait = this->keeper.refuse(organisation, limit, boot_clock::now());
-        done(wait ? quota_decision{quota_verdict::over_limit, *wait, false}
-                  : quota_decision{quota_verdict::admitted, {}, true});
+        done(wait ? quota_decision{quota_verdict::over_limit, *wait, false,
+                                   describe_limit(limit) + ", held here"}
+                  : quota_decision{quota_verdict::admitted, {}, true, ""});
         return;
     }
     const auto holder = this->handlers.keeper_of(group);
@@ -63,7 +75,9 @@
     const bool is_admitted = this->spare.take(organisation, this->handlers.limit_of(organisation),
                                               this->handlers.fleet_size(), boot_clock::now());
     return {is_admitted ? quota_verdict::admitted : quota_verdict::unproved,
-            std::chrono::milliseconds{500}, false};
+            std::chrono::milliseconds{500}, false,
+            "the keeper of group " + std::to_string(quota_group(organisation)) +
+                " does not answer"};
 }
 
 void quota_desk::finish(run_id id, const quota_decision& decision)
@@ -121,7 +135,8 @@
         return;
     }
     const auto verdict = reply.is_admitted ? quota_verdict::admitted : quota_verdict::over_limit;
-    this->finish(reply.id, {verdict, reply.retry_after, reply.is_admitted});
+    const auto limit = this->handlers.limit_of(found->second.organisation);
+    this->finish(reply.id, {verdict, reply.retry_after, reply.is_admitted, describe_limit(limit)});
 }
 
 void quota_desk::drop_group(std::size_t group)
--- a/src/mesh/quota_desk.hpp
+++ b/src/mesh/quota_desk.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -31,6 +32,8 @@
     std::chrono::milliseconds retry_after{0};
     /// The keeper counted the request, so that an unused right can go back to it.
     bool is_counted = false;
+    /// What decided, for the log.
+    std::string evidence;
 };
 
 /// The number of groups that organisations are divided into; each group's quota is held by one
