--- a/src/dispatch/upstream_health.cpp
+++ b/src/dispatch/upstream_health.cpp
@@ -29,10 +29,6 @@
 /// Slowdowns below this are within the spread of run times.
 constexpr double usual_slowdown = 1.7;
 
-/// Part of its objective that a failed repeatable request loses: it runs once more, but often on
-/// another upstream that is failing too.
-constexpr double repeatable_part = 0.5;
-
 double fade(double value, time_point since, time_point now, std::chrono::milliseconds half_life)
 {
     const std::chrono::duration<double> age = now - since;
@@ -73,9 +69,9 @@
     return 1 + fade(this->ratio - 1, this->ratio_at, now, slowdown_half_life);
 }
 
-std::chrono::milliseconds upstream_health::expected_cost(time_point now, bool is_repeatable,
+std::chrono::milliseconds upstream_health::expected_cost(time_point now,
                                                          std::chrono::milliseconds expected_run,
-                                                         std::chrono::milliseconds objective,
+                                                         std::chrono::milliseconds failure_cost,
                                                          std::chrono::milliseconds overrun) const
 {
     const auto run = static_cast<double>(expected_run.count());
@@ -83,9 +79,8 @@
     const double extra_run = slow > usual_slowdown ? (slow - 1) * run : 0;
     // A stalled request shows before it ends.
     const double stalled = std::max(static_cast<double>(overrun.count()) - 2 * run, 0.0);
-    const double failure_cost =
-        static_cast<double>(objective.count()) * (is_repeatable ? repeatable_part : 1.0);
-    const double cost = extra_run + stalled + this->failure_share(now) * failure_cost;
+    const double cost =
+        extra_run + stalled + this->failure_share(now) * static_cast<double>(failure_cost.count());
     return std::chrono::milliseconds{static_cast<std::int64_t>(cost)};
 }
 
--- a/src/dispatch/upstream_health.hpp
+++ b/src/dispatch/upstream_health.hpp
@@ -24,12 +24,10 @@
     double slowdown(time_point now) const;
 
     /// What a request is expected to lose here compared to a sound upstream: the extra run time and
-    /// the expected loss by failure. `overrun` is how long the oldest running request exceeds its
-    /// expected time. A failure costs a request its objective, and one that can be repeated half of
-    /// it.
-    std::chrono::milliseconds expected_cost(time_point now, bool is_repeatable,
-                                            std::chrono::milliseconds expected_run,
-                                            std::chrono::milliseconds objective,
+    /// the share of `failure_cost`, which is what a failure loses. `overrun` is how long the oldest
+    /// running request exceeds its expected time.
+    std::chrono::milliseconds expected_cost(time_point now, std::chrono::milliseconds expected_run,
+                                            std::chrono::milliseconds failure_cost,
                                             std::chrono::milliseconds overrun) const;
 
 private:
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -22,9 +22,12 @@
 /// Without a good offer more VMs are asked after this time: a few round trips between data centres.
 constexpr milliseconds ask_interval{20};
 
-/// An offer with a cost up to this is taken at once, whatever other VMs might say.
+/// An offer with a cost up to this is taken at once: asking more VMs holds slots at each of them.
 constexpr milliseconds small_cost{25};
 
+/// A dearer offer is taken after this time without a better one.
+constexpr milliseconds better_offer_limit{30};
+
 /// Without any reply for this time no VM can be reached.
 constexpr milliseconds no_reply_limit{600};
 
@@ -41,6 +44,9 @@
 /// Before the first run of a route its time is taken to be this part of its objective.
 constexpr int objective_per_run = 3;
 
+/// A call that fails takes its caller's run with it, which is several times as long.
+constexpr int objectives_per_call = 2;
+
 /// Interval of the checks while a request runs.
 constexpr milliseconds run_check_interval{100};
 
@@ -116,6 +122,14 @@
                     milliseconds{1});
 }
 
+milliseconds dispatched_request::failure_cost() const
+{
+    const bool may_run_again = this->accepted.route.may_repeat() &&
+                               this->runs_started + 1 < this->accepted.route.max_attempts;
+    const int objectives = this->accepted.rank.is_new_request ? 1 : objectives_per_call;
+    return this->accepted.route.objective * objectives / (may_run_again ? 2 : 1);
+}
+
 void dispatched_request::begin_round()
 {
     this->end_round();
@@ -176,7 +190,7 @@
     message.rank = this->accepted.rank;
     message.is_repeatable = this->accepted.route.may_repeat();
     message.start_within = this->start_within();
-    message.objective = this->accepted.route.objective;
+    message.failure_cost = this->failure_cost();
     message.expected_run = this->expected_run();
     for (const node_id& vm : chosen) {
         this->reservations[vm] = {};
@@ -249,7 +263,7 @@
     const bool is_cheap = this->reservations[*best].cost <= small_cost;
     const bool may_improve =
         awaits_reply || (this->has_unasked_vms() && this->reservations.size() < most_reservations);
-    if (is_cheap || !may_improve || boot_clock::now() > this->round_began + 3 * ask_interval) {
+    if (is_cheap || !may_improve || boot_clock::now() > this->round_began + better_offer_limit) {
         this->hand_over(*best);
     }
     else if (!awaits_reply) {
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -87,6 +87,7 @@
     void release_all();
     std::chrono::milliseconds expected_run() const;
     std::chrono::milliseconds start_within() const;
+    std::chrono::milliseconds failure_cost() const;
     bool has_run_elsewhere() const { return this->runs_started > 0; }
 
     dispatcher& shared;
--- a/src/mesh/link_message.hpp
+++ b/src/mesh/link_message.hpp
@@ -39,7 +39,8 @@
     bool is_repeatable = false;
     /// Time in which the run must start to answer within its objective.
     std::chrono::milliseconds start_within{0};
-    std::chrono::milliseconds objective{0};
+    /// What a failure of the run would lose, as an equivalent of waiting time.
+    std::chrono::milliseconds failure_cost{0};
     /// Mean run time of such requests over the whole service, as the sender sees it.
     std::chrono::milliseconds expected_run{0};
 };
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -37,6 +37,10 @@
 
 constexpr std::size_t max_answer_bytes = 64U << 20U;
 
+/// Work that is offered beyond the free slots, one for each so many slots: the upstream queues a
+/// few requests itself, so its slots do not stand idle during the round trip of an offer.
+constexpr std::size_t slots_per_extra = 4;
+
 /// Weight of one run in the typical run time.
 constexpr double run_weight = 0.1;
 
@@ -195,7 +199,7 @@
     entry->key = {from, message.id};
     entry->ticket = ++this->last_ticket;
     entry->terms = message;
-    if (this->in_use < current->slots && this->queue.size() == 0) {
+    if (this->in_use < this->capacity() && this->queue.size() == 0) {
         this->runs[entry->key] = entry;
         this->tickets[entry->ticket] = entry;
         this->offer(entry);
@@ -226,10 +230,16 @@
     this->arm_timer();
 }
 
+std::size_t upstream_runner::capacity() const
+{
+    const std::size_t slots = this->reports.current()->slots;
+    return slots + slots / slots_per_extra;
+}
+
 void upstream_runner::offer_next()
 {
     const time_point now = boot_clock::now();
-    while (this->takes_work(now) && this->in_use < this->reports.current()->slots) {
+    while (this->takes_work(now) && this->in_use < this->capacity()) {
         const auto ticket = this->queue.pop(now);
         if (!ticket) {
             return;
@@ -427,8 +437,8 @@
 std::chrono::milliseconds upstream_runner::cost_of(const reserve_message& terms,
                                                    time_point now) const
 {
-    auto cost = this->health.expected_cost(now, terms.is_repeatable, terms.expected_run,
-                                           terms.objective, this->oldest_overrun(now));
+    auto cost = this->health.expected_cost(now, terms.expected_run, terms.failure_cost,
+                                           this->oldest_overrun(now));
     const auto& current = this->reports.current();
     if (current && now < current->cold_until) {
         cost += terms.expected_run;
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -95,6 +95,7 @@
     std::chrono::milliseconds cost_of(const reserve_message& terms, time_point now) const;
     std::chrono::milliseconds oldest_overrun(time_point now) const;
     bool takes_work(time_point now) const;
+    std::size_t capacity() const;
     void tick();
     void arm_timer();
     void drop_reservations(const node_id& from);
