--- a/src/dispatch/work_queue.hpp
+++ b/src/dispatch/work_queue.hpp
@@ -4,6 +4,7 @@
 #include "core/ids.hpp"
 #include "limits/fair_queue.hpp"
 
+#include <array>
 #include <chrono>
 #include <compare>
 #include <cstddef>
@@ -16,8 +17,7 @@
 namespace dragonflyroad {
 
 /// The order in which work is served; lower values first. Calls that an upstream makes while it
-/// runs a request go before new requests: the caller holds a slot until they end, and services that
-/// call each other would otherwise wait for each other's slots.
+/// runs a request are apart from new requests: their caller holds a slot until they end.
 struct work_rank {
     bool is_new_request = true;
     int organisation_priority = 0;
@@ -33,6 +33,8 @@
     work_rank rank;
     /// Latest time at which starting it still gives an answer within the latency objective.
     time_point start_by;
+    /// How long it is expected to hold a slot.
+    std::chrono::milliseconds expected_run{0};
 };
 
 /// How much wait an upstream's queue promises.
@@ -44,8 +46,12 @@
 /// several upstreams and run at the first that offers a slot, so a queue empties faster than its
 /// upstream works; the wait is therefore estimated from the rate at which requests leave the queue
 /// for any reason. A request that could not start in time is declined at once instead of failing
-/// later. Ranks are served strictly in order, organisations of one rank by fair queueing.
-/// Not synchronised.
+/// later.
+///
+/// While both wait, calls of upstreams get three quarters of the slots' time and new requests one:
+/// calls that wait waste their callers' slots, but an upstream that is called a lot would otherwise
+/// serve no request of its own. Within these, priorities are served strictly in order and
+/// organisations of one priority by fair queueing. Not synchronised.
 class work_queue {
 public:
     /// `slots` and `typical_run` give the rate until enough departures were seen.
@@ -63,8 +69,9 @@
     /// Removes and returns work that can no longer start in time.
     std::vector<queue_ticket> expire(time_point now);
 
-    /// The wait of work of this rank if it were added now.
-    wait_estimate estimate(const work_rank& rank, time_point now) const;
+    /// The wait of work of this rank and organisation if it were added now.
+    wait_estimate estimate(const work_rank& rank, const organisation_id& organisation,
+                           time_point now) const;
 
     std::size_t size() const { return this->entries.size(); }
 
@@ -72,14 +79,31 @@
     struct entry {
         organisation_id organisation;
         work_rank rank;
+        std::chrono::milliseconds expected_run{0};
     };
 
-    void note_departure(time_point now);
-    double departures_per_second(time_point now) const;
+    /// Calls or new requests.
+    struct lane {
+        std::map<work_rank, fair_queue> ranks;
+        std::deque<time_point> departures;
+        /// Slot time served, divided by the lane's share.
+        double virtual_time = 0;
+        double share = 1;
+
+        bool is_empty() const;
+        void note_departure(time_point now);
+        double departures_per_second(time_point now, double base_rate) const;
+    };
+
+    lane& lane_of(const work_rank& rank) { return this->lanes[rank.is_new_request ? 1 : 0]; }
+    const lane& lane_of(const work_rank& rank) const
+    {
+        return this->lanes[rank.is_new_request ? 1 : 0];
+    }
+    std::optional<queue_ticket> pop_from(lane& source, time_point now);
 
-    std::map<work_rank, fair_queue> ranks;
+    std::array<lane, 2> lanes{lane{{}, {}, 0, 0.75}, lane{{}, {}, 0, 0.25}};
     std::unordered_map<queue_ticket, entry> entries;
-    std::deque<time_point> departures;
     double base_rate = 1;
 };
 
--- a/src/limits/fair_queue.cpp
+++ b/src/limits/fair_queue.cpp
@@ -144,4 +144,14 @@
     return place == this->flows.end() ? 0 : place->second.entries.size();
 }
 
+std::size_t fair_queue::ahead_of(const organisation_id& organisation) const
+{
+    const std::size_t turns = this->size_of(organisation) + 1;
+    std::size_t ahead = 0;
+    for (const auto& [other, queue] : this->flows) {
+        ahead += std::min(queue.entries.size(), turns);
+    }
+    return ahead;
+}
+
 } // namespace dragonflyroad
--- a/src/limits/fair_queue.hpp
+++ b/src/limits/fair_queue.hpp
@@ -54,6 +54,9 @@
 
     std::size_t size() const { return this->waiting; }
     std::size_t size_of(const organisation_id& organisation) const;
+    /// Waiting requests that are served before the next one of this organisation, if all weights
+    /// are alike: of each other organisation no more than this one has itself.
+    std::size_t ahead_of(const organisation_id& organisation) const;
 
 private:
     struct entry {
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -188,7 +188,7 @@
 {
     const time_point now = boot_clock::now();
     const auto& current = this->reports.current();
-    const auto wait = this->queue.estimate(message.rank, now).wait;
+    const auto wait = this->queue.estimate(message.rank, message.organisation, now).wait;
     if (!this->takes_work(now) || current->service != message.service) {
         const auto reason =
             this->is_stopping ? decline_reason::stopping : decline_reason::no_upstream;
@@ -206,7 +206,7 @@
         return;
     }
     const waiting_work work{entry->ticket, message.organisation, message.rank,
-                            now + message.start_within};
+                            now + message.start_within, message.expected_run};
     const auto expected = this->queue.push(work, now);
     if (!expected) {
         this->reply_to(from, decline_message{message.id, decline_reason::overloaded, wait});
--- /dev/null
+++ b/test/correctness/test_dispatch.cpp
@@ -0,0 +1,229 @@
+#include "dispatch/currency_proof.hpp"
+#include "dispatch/follow_choice.hpp"
+#include "dispatch/organisation_quota.hpp"
+#include "dispatch/placement.hpp"
+#include "dispatch/repeat_budget.hpp"
+#include "dispatch/upstream_health.hpp"
+#include "dispatch/upstream_reports.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start = time_point{} + 1h;
+
+upstream_report make_report(std::int64_t sequence, std::int64_t started_at)
+{
+    upstream_report report;
+    report.id = "first";
+    report.address = "127.0.0.1:80";
+    report.service = service_name{"books"};
+    report.slots = 3;
+    report.sequence = sequence;
+    report.started_at = started_at;
+    return report;
+}
+
+} // namespace
+
+// Guards against a delayed report that brings an upstream back which has drained or left.
+TEST_CASE("reports of an upstream that arrive late change nothing")
+{
+    upstream_reports reports;
+    CHECK(reports.apply(make_report(4, 1000), start) == report_verdict::started);
+    upstream_report draining = make_report(6, 1000);
+    draining.state = upstream_state::draining;
+    CHECK(reports.apply(draining, start) == report_verdict::accepted);
+    CHECK(reports.apply(make_report(5, 1000), start) == report_verdict::outdated);
+    CHECK(reports.current()->is_draining);
+    CHECK(reports.leave("first"));
+    CHECK(reports.apply(make_report(7, 1000), start) == report_verdict::outdated);
+    CHECK_FALSE(reports.current().has_value());
+}
+
+// Guards against a restart that is ignored because it keeps the id and counts from one again, and
+// against an earlier lifetime's report that replaces a later one.
+TEST_CASE("the later start of an upstream wins whatever its sequence")
+{
+    upstream_reports reports;
+    reports.apply(make_report(40, 1000), start);
+    CHECK(reports.apply(make_report(1, 2000), start) == report_verdict::started);
+    CHECK(reports.apply(make_report(41, 1000), start) == report_verdict::outdated);
+    CHECK(reports.current()->started_at == 2000);
+}
+
+// Guards against an upstream that fails at once and, being always free, draws all the work.
+TEST_CASE("one failure makes an upstream dearer than a short wait elsewhere")
+{
+    upstream_health health;
+    const auto cost = [&](time_point now) { return health.expected_cost(now, 200ms, 1000ms, 0ms); };
+    CHECK(cost(start) == 0ms);
+    health.note_failure(start);
+    CHECK(cost(start) >= 500ms);
+    CHECK(cost(start + 5s) < 25ms);
+}
+
+// Guards against the false ejection of upstreams whose run times merely spread.
+TEST_CASE("run times within their usual spread cost nothing")
+{
+    upstream_health health;
+    for (int run = 0; run < 50; ++run) {
+        health.note_success(start + run * 100ms, run % 2 == 0 ? 60ms : 340ms, 200ms);
+    }
+    CHECK(health.expected_cost(start + 5s, 200ms, 1000ms, 0ms) == 0ms);
+}
+
+TEST_CASE("an upstream that became five times slower is dear, and so is one that stalls")
+{
+    upstream_health slow;
+    for (int run = 0; run < 6; ++run) {
+        slow.note_success(start + run * 200ms, 1000ms, 200ms);
+    }
+    CHECK(slow.expected_cost(start + 1200ms, 200ms, 1000ms, 0ms) > 200ms);
+    const upstream_health stalled;
+    CHECK(stalled.expected_cost(start, 200ms, 1000ms, 2000ms) >= 1500ms);
+}
+
+TEST_CASE("the cheapest offer is taken unless waiting elsewhere is expected to be better")
+{
+    const node_id sick{"sick"};
+    const node_id sound{"sound"};
+    CHECK(best_offer({{sick, true, 600ms}, {sound, true, 0ms}}) == sound);
+    CHECK(best_offer({{sick, true, 600ms}, {sound, false, 900ms}}) == sick);
+    CHECK_FALSE(best_offer({{sick, true, 600ms}, {sound, false, 100ms}}).has_value());
+    CHECK_FALSE(best_offer({}).has_value());
+}
+
+TEST_CASE("VMs that could not be reached are asked last")
+{
+    placement places;
+    random_engine random{1};
+    const node_id dark{"dark"};
+    const node_id other{"other"};
+    places.note_unreachable(dark, start);
+    const std::vector<placement_candidate> both{{dark, true, false}, {other, false, false}};
+    CHECK(places.choose(both, 1, random, start).front() == other);
+    CHECK(places.is_unreachable(dark, start));
+    CHECK_FALSE(places.is_unreachable(dark, start + 10s));
+}
+
+// Guards against over-admission by two keepers in a row and by nodes that decide alone: together
+// they stay within the tolerance of the limit.
+TEST_CASE("a change of keeper and nodes on their own stay within the tolerance")
+{
+    const quota_tolerance tolerance{};
+    const organisation_limit limit{28, 28};
+    const organisation_id organisation{"council"};
+    const auto admitted_by = [&](quota_keeper& keeper, time_point from, time_point until) {
+        std::size_t admitted = 0;
+        for (time_point now = from; now < until; now += 5ms) {
+            admitted += keeper.refuse(organisation, limit, now) ? 0 : 1;
+        }
+        return admitted;
+    };
+    quota_keeper first{tolerance};
+    // The first keeper saves up a full burst before the window.
+    first.refuse(organisation, limit, start);
+    const time_point window = start + 10s;
+    std::size_t admitted = admitted_by(first, window, window + 2s);
+    quota_keeper second{tolerance};
+    admitted += admitted_by(second, window + 2s, window + 5s);
+    constexpr std::size_t nodes = 95;
+    for (std::size_t index = 0; index < nodes; ++index) {
+        spare_quota spare{node_id{"node-" + std::to_string(index)}, tolerance};
+        for (time_point now = window; now < window + 5s; now += 50ms) {
+            admitted += spare.take(organisation, limit, nodes, now) ? 1 : 0;
+        }
+    }
+    CHECK(static_cast<double>(admitted) <= 28 * 5 + 28 + tolerance.spare(limit));
+}
+
+TEST_CASE("an organisation within its rate is never refused by its keeper")
+{
+    quota_keeper keeper{quota_tolerance{}};
+    const organisation_limit limit{10, 10};
+    for (int request = 0; request < 200; ++request) {
+        CHECK_FALSE(keeper.refuse(organisation_id{"a"}, limit, start + request * 110ms));
+    }
+}
+
+TEST_CASE("a right that was not used serves the next request")
+{
+    quota_keeper keeper{quota_tolerance{}};
+    const organisation_limit limit{1, 2};
+    const organisation_id organisation{"a"};
+    while (!keeper.refuse(organisation, limit, start)) {
+    }
+    keeper.give_back(organisation, limit);
+    CHECK_FALSE(keeper.refuse(organisation, limit, start).has_value());
+}
+
+// Guards against an outage that repeats multiply: all nodes together stay within the fleet's bound.
+TEST_CASE("repeats of all nodes stay within the ratio and the slack")
+{
+    const repeat_limit bound{};
+    const service_name service{"books"};
+    std::size_t repeats = 0;
+    constexpr std::size_t nodes = 24;
+    constexpr int requests = 40;
+    for (std::size_t node = 0; node < nodes; ++node) {
+        repeat_budget budget{bound};
+        for (int request = 0; request < requests; ++request) {
+            const time_point now = start + request * 250ms;
+            budget.note_request(service, now);
+            repeats += budget.take(service, nodes, now) ? 1 : 0;
+        }
+    }
+    CHECK(static_cast<double>(repeats) <= 0.2 * nodes * requests + 60);
+}
+
+// Guards against withdrawn keys that keep working on a node that slept or lost the store.
+TEST_CASE("a proof expires by its own age only")
+{
+    currency_proof proof;
+    CHECK_FALSE(proof.is_recent(start, 5s));
+    proof.note(start);
+    proof.note(start - 1s);
+    CHECK(proof.is_recent(start + 4s, 5s));
+    CHECK_FALSE(proof.is_recent(start + 5s, 5s));
+}
+
+TEST_CASE("one node of a data centre watches the store and its place is taken when it is stale")
+{
+    const std::vector<node_id> nodes{node_id{"a"}, node_id{"b"}, node_id{"c"}, node_id{"d"}};
+    random_engine random{1};
+    std::vector<follow_choice> choices;
+    for (const node_id& node : nodes) {
+        choices.emplace_back(node);
+    }
+    std::vector<node_id> watchers;
+    for (std::size_t index = 0; index < nodes.size(); ++index) {
+        if (!choices[index].choose(nodes, nodes, random, start)) {
+            watchers.push_back(nodes[index]);
+        }
+    }
+    REQUIRE(watchers.size() == 1);
+    std::size_t new_watchers = 0;
+    for (std::size_t index = 0; index < nodes.size(); ++index) {
+        choices[index].note_stale(watchers.front(), start);
+        const auto source = choices[index].choose(nodes, nodes, random, start);
+        CHECK(source != watchers.front());
+        new_watchers += source || nodes[index] == watchers.front() ? 0 : 1;
+    }
+    CHECK(new_watchers == 1);
+}
+
+// Guards against a node that is turned away by the store and knows nobody to follow instead.
+TEST_CASE("a watcher that cannot reach the store follows another node until it tries again")
+{
+    const std::vector<node_id> alone{node_id{"a"}};
+    const std::vector<node_id> fleet{node_id{"a"}, node_id{"b"}};
+    random_engine random{1};
+    follow_choice choice{node_id{"a"}};
+    choice.note_store_failure(start);
+    CHECK(choice.choose(alone, fleet, random, start) == node_id{"b"});
+    CHECK_FALSE(choice.choose(alone, fleet, random, start + 2s).has_value());
+}
