--- a/src/mesh/configuration_history.cpp
+++ b/src/mesh/configuration_history.cpp
@@ -3,6 +3,7 @@
 #include "core/failure.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflyroad {
 namespace {
@@ -16,40 +17,66 @@
 
 void configuration_history::add(const routing_table& table)
 {
-    this->recent.emplace_back(table.revision(), table.to_json());
+    this->add(table.revision(), table.to_json());
+}
+
+void configuration_history::add(revision_number revision, json document)
+{
+    this->recent.emplace_back(revision, std::move(document));
+    this->updates.clear();
     if (this->recent.size() > most_kept) {
         this->recent.pop_front();
     }
 }
 
-json configuration_history::update_from(revision_number known) const
+const json* configuration_history::find(revision_number revision) const
+{
+    const auto found =
+        std::ranges::find(this->recent, revision, &std::pair<revision_number, json>::first);
+    return found == this->recent.end() ? nullptr : &found->second;
+}
+
+std::string configuration_history::update_from(revision_number known) const
 {
     if (this->recent.empty() || known >= this->recent.back().first) {
-        return nullptr;
+        return {};
     }
-    const json& newest = this->recent.back().second;
-    const auto base =
-        std::ranges::find(this->recent, known, &std::pair<revision_number, json>::first);
-    if (base == this->recent.end()) {
-        return {{"whole", newest}};
+    const json* base = this->find(known);
+    const revision_number from = base == nullptr ? 0 : known;
+    const auto [place, is_new] = this->updates.try_emplace(from);
+    if (is_new) {
+        const json& newest = this->recent.back().second;
+        const json update = base == nullptr
+                                ? json{{"whole", newest}}
+                                : json{{"base", known}, {"patch", json::diff(*base, newest)}};
+        json::to_cbor(update, place->second);
     }
-    return {{"base", known}, {"patch", json::diff(base->second, newest)}};
+    return place->second;
 }
 
-std::optional<routing_table> configuration_history::apply(const json& update,
-                                                          const std::string& source) const
+std::optional<routing_table> configuration_history::apply(const std::string& update,
+                                                          const std::string& source)
 {
     try {
-        if (update.contains("whole")) {
-            return routing_table::from_json(update.at("whole"), source);
+        const json decoded = json::from_cbor(update);
+        json document;
+        if (decoded.contains("whole")) {
+            document = decoded.at("whole");
+        }
+        else {
+            const json* base = this->find(decoded.at("base").get<revision_number>());
+            if (base == nullptr) {
+                return fail("apply configuration patch", source, "its base is not known here");
+            }
+            document = base->patch(decoded.at("patch"));
         }
-        const auto known = update.at("base").get<revision_number>();
-        const auto base =
-            std::ranges::find(this->recent, known, &std::pair<revision_number, json>::first);
-        if (base == this->recent.end()) {
-            return fail("apply configuration patch", source, "its base is not known here");
+        auto table = routing_table::from_json(document, source);
+        const bool is_newer =
+            table && (this->recent.empty() || table->revision() > this->recent.back().first);
+        if (is_newer) {
+            this->add(table->revision(), std::move(document));
         }
-        return routing_table::from_json(base->second.patch(update.at("patch")), source);
+        return table;
     }
     catch (const json::exception& error) {
         return fail("apply configuration patch", source, error.what());
--- a/src/mesh/fleet_view.cpp
+++ b/src/mesh/fleet_view.cpp
@@ -268,7 +268,7 @@
     this->revision = reply.revision;
     // The reply was made after the question was sent, so its proof is at least as recent as this.
     this->currency.note(this->followed_at - reply.proof_age);
-    if (!reply.items.empty() || reply.configuration.is_object()) {
+    if (!reply.items.empty() || !reply.configuration.empty()) {
         this->handlers.changed();
     }
     this->learn_after(watch_pause);
@@ -276,7 +276,7 @@
 
 bool fleet_view::adopt_from(const node_id& from, const follow_reply_message& reply)
 {
-    if (!reply.configuration.is_object()) {
+    if (reply.configuration.empty()) {
         return this->table != nullptr && this->table->revision() >= reply.configuration_revision;
     }
     auto next = this->history.apply(reply.configuration, from.value);
@@ -358,6 +358,9 @@
             .add("detail", last_failure().detail);
         return;
     }
+    if (this->table == nullptr || decoded->revision() > this->table->revision()) {
+        this->history.add(*decoded);
+    }
     this->adopt(std::move(*decoded), "store");
 }
 
@@ -367,7 +370,6 @@
         return;
     }
     log_line{"configuration"}.add("revision", next.revision()).add("source", source);
-    this->history.add(next);
     this->table = std::make_shared<const routing_table>(std::move(next));
 }
 
--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -7,6 +7,8 @@
 #include <cstddef>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 namespace dragonflyroad {
 namespace {
 
@@ -23,7 +25,6 @@
     void operator()(bool flag) { this->fields.push_back(flag); }
     void operator()(int number) { this->fields.push_back(number); }
     void operator()(milliseconds span) { this->fields.push_back(span.count()); }
-    void operator()(const json& document) { this->fields.push_back(document); }
     template<typename Tag>
     void operator()(const identifier<Tag>& id)
     {
@@ -89,7 +90,6 @@
     {
         span = milliseconds{field.get<std::int64_t>()};
     }
-    static void read(const json& field, json& document) { document = field; }
     template<typename Tag>
     static void read(const json& field, identifier<Tag>& id)
     {
--- a/src/mesh/link_message.hpp
+++ b/src/mesh/link_message.hpp
@@ -13,8 +13,6 @@
 #include <variant>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 namespace dragonflyroad {
 
 /// Identifies a request between the node that took it from its caller and the nodes that may run
@@ -147,8 +145,8 @@
     /// How long ago the sender knew that nothing newer existed.
     std::chrono::milliseconds proof_age{0};
     revision_number configuration_revision = 0;
-    /// Update of the configuration, or null; see configuration_history.
-    nlohmann::json configuration;
+    /// Update of the configuration, or empty; see configuration_history.
+    std::string configuration;
     std::vector<stored_item> items;
 };
 
