--- a/src/dispatch/work_queue.hpp
+++ b/src/dispatch/work_queue.hpp
@@ -48,8 +48,8 @@
 /// for any reason. A request that could not start in time is declined at once instead of failing
 /// later.
 ///
-/// While both wait, calls of upstreams get three quarters of the slots' time and new requests one:
-/// calls that wait waste their callers' slots, but an upstream that is called a lot would otherwise
+/// While both wait, calls of upstreams get most of the slots' time and new requests an eighth: a call
+/// that is turned away wastes its caller's run, but an upstream that is called a lot would otherwise
 /// serve no request of its own. Within these, priorities are served strictly in order and
 /// organisations of one priority by fair queueing. Not synchronised.
 class work_queue {
@@ -102,7 +102,7 @@
     }
     std::optional<queue_ticket> pop_from(lane& source, time_point now);
 
-    std::array<lane, 2> lanes{lane{{}, {}, 0, 0.75}, lane{{}, {}, 0, 0.25}};
+    std::array<lane, 2> lanes{lane{{}, {}, 0, 0.875}, lane{{}, {}, 0, 0.125}};
     std::unordered_map<queue_ticket, entry> entries;
     double base_rate = 1;
 };
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -555,6 +555,9 @@
 {
     const auto self = this->shared_from_this();
     this->is_done = true;
+    if (!this->accepted.rank.is_new_request && answer.status >= 500) {
+        this->shared.call_failed();
+    }
     this->release_all();
     this->shared.counters.record_latency(boot_clock::now() - this->accepted.arrived);
     const auto function = std::exchange(this->answer_caller, nullptr);
--- a/src/mesh/dispatcher.hpp
+++ b/src/mesh/dispatcher.hpp
@@ -60,6 +60,8 @@
     run_times times;
     metrics counters;
     std::function<void(const node_id&)> reconnect;
+    /// A call of the upstream on this VM has failed.
+    std::function<void()> call_failed;
 
 private:
     std::shared_ptr<dispatched_request> find(run_id id) const;
--- a/src/mesh/fleet_view.cpp
+++ b/src/mesh/fleet_view.cpp
@@ -42,6 +42,10 @@
 
 constexpr milliseconds maintenance_interval{250};
 
+/// Updates above this size are read from the store: 26 followers of a VM with a link of 11 Mbit/s
+/// would wait 0.3 s for it.
+constexpr std::size_t large_update_bytes = 16U << 10U;
+
 } // namespace
 
 fleet_view::fleet_view(boost::asio::io_context& loop, shared_store& platform_store,
@@ -223,6 +227,7 @@
     question.after = this->revision;
     question.configuration = this->table == nullptr ? 0 : this->table->revision();
     question.wait = follow_time;
+    question.wants_large_update = this->wants_large_update;
     this->next_step.expires_after(follow_time + follow_answer_limit);
     this->next_step.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
@@ -246,6 +251,13 @@
     }
     this->next_step.cancel();
     const time_point now = boot_clock::now();
+    const bool lacks_configuration =
+        reply.configuration.empty() &&
+        (this->table == nullptr || this->table->revision() < reply.configuration_revision);
+    if (reply.has_proof && lacks_configuration) {
+        this->read_configuration();
+        return;
+    }
     if (!reply.has_proof || reply.proof_age > stale_proof || reply.is_history_lost ||
         reply.revision < this->revision || !this->adopt_from(from, reply)) {
         this->sources->note_stale(from, now);
@@ -274,6 +286,21 @@
     this->learn_after(watch_pause);
 }
 
+void fleet_view::read_configuration()
+{
+    this->store.read(this->configuration_key, [this](std::optional<stored_range> range) {
+        this->wants_large_update = !range;
+        this->note_reachable(range.has_value(), range ? "" : last_failure().detail);
+        if (range) {
+            for (const stored_item& item : range->items) {
+                this->apply(item);
+            }
+            this->handlers.changed();
+        }
+        this->learn();
+    });
+}
+
 bool fleet_view::adopt_from(const node_id& from, const follow_reply_message& reply)
 {
     if (reply.configuration.empty()) {
@@ -286,6 +313,7 @@
             .add("detail", last_failure().detail);
         return false;
     }
+    this->wants_large_update = false;
     this->adopt(std::move(*next), from.value);
     return true;
 }
@@ -310,6 +338,9 @@
     reply.proof_age = std::chrono::ceil<milliseconds>(boot_clock::now() - as_of);
     reply.configuration_revision = this->table->revision();
     reply.configuration = this->history.update_from(question.configuration);
+    if (reply.configuration.size() > large_update_bytes && !question.wants_large_update) {
+        reply.configuration.clear();
+    }
     for (const auto& [key, item] : this->items) {
         if (item.revision > question.after) {
             reply.items.push_back(item);
--- a/src/mesh/fleet_view.hpp
+++ b/src/mesh/fleet_view.hpp
@@ -62,6 +62,7 @@
 
 private:
     void read_all();
+    void read_configuration();
     void on_read(std::optional<stored_range> range, time_point asked);
     void learn();
     void watch_store();
@@ -106,6 +107,7 @@
     time_point followed_at{};
     time_point started_at{};
     bool is_reachable = false;
+    bool wants_large_update = false;
 };
 
 } // namespace dragonflyroad
--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -167,7 +167,7 @@
         archive(message.id), archive(message.kind), archive(message.detail);
     }
     else if constexpr (std::is_same_v<type, quota_message>) {
-        archive(message.id), archive(message.organisation);
+        archive(message.id), archive(message.organisation), archive(message.is_relayed);
     }
     else if constexpr (std::is_same_v<type, quota_reply_message>) {
         archive(message.id), archive(message.is_keeper), archive(message.is_admitted);
@@ -178,7 +178,7 @@
     }
     else if constexpr (std::is_same_v<type, follow_message>) {
         archive(message.nonce), archive(message.after), archive(message.configuration);
-        archive(message.wait);
+        archive(message.wait), archive(message.wants_large_update);
     }
     else if constexpr (std::is_same_v<type, follow_reply_message>) {
         archive(message.nonce), archive(message.revision), archive(message.is_history_lost);
--- a/src/mesh/link_message.hpp
+++ b/src/mesh/link_message.hpp
@@ -111,6 +111,8 @@
 struct quota_message {
     run_id id = 0;
     organisation_id organisation;
+    /// The asker cannot reach the holder; the receiver asks on its behalf.
+    bool is_relayed = false;
 };
 
 struct quota_reply_message {
@@ -133,6 +135,8 @@
     store_revision after = 0;
     revision_number configuration = 0;
     std::chrono::milliseconds wait{0};
+    /// The store cannot be read, so that even a large update of the configuration is wanted.
+    bool wants_large_update = false;
 };
 
 struct follow_reply_message {
@@ -145,7 +149,8 @@
     /// How long ago the sender knew that nothing newer existed.
     std::chrono::milliseconds proof_age{0};
     revision_number configuration_revision = 0;
-    /// Update of the configuration, or empty; see configuration_history.
+    /// Update of the configuration; see configuration_history. Empty when there is none, or when it
+    /// is large and better read from the store.
     std::string configuration;
     std::vector<stored_item> items;
 };
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -65,6 +65,7 @@
             this->links.reconnect(node);
         }
     };
+    this->requests.call_failed = [this] { this->runner.note_failed_call(); };
     this->runner.on_change([this] { this->publish(); });
     this->add_metrics();
 }
@@ -105,12 +106,28 @@
         return rule == nullptr ? organisation_limit{} : rule->limit;
     };
     functions.fleet_size = [this] { return this->requests.directory.size(); };
+    functions.relay_to = [this](const node_id& keeper) { return this->relay_around(keeper); };
     functions.send = [this](const node_id& to, const link_message& message) {
         this->send(to, message);
     };
     return functions;
 }
 
+std::optional<node_id> mesh_node::relay_around(const node_id& keeper)
+{
+    std::vector<node_id> others;
+    for (const node_id& node : this->view.live_nodes()) {
+        if (node != keeper && node != this->options.node &&
+            !this->requests.places.is_unreachable(node, boot_clock::now())) {
+            others.push_back(node);
+        }
+    }
+    if (others.empty()) {
+        return std::nullopt;
+    }
+    return others[uniform_index(this->requests.random, others.size())];
+}
+
 link_table::callbacks mesh_node::link_callbacks()
 {
     link_table::callbacks functions;
@@ -302,7 +319,7 @@
                                 const upstream_runner::reply_function& reply)
 {
     if (const auto* question = std::get_if<quota_message>(&message)) {
-        reply(this->quota.answer(*question));
+        this->quota.answer(*question, reply);
     }
     else if (const auto* returned = std::get_if<quota_return_message>(&message)) {
         this->quota.take_back(*returned);
--- a/src/mesh/mesh_node.hpp
+++ b/src/mesh/mesh_node.hpp
@@ -69,6 +69,7 @@
     fleet_view::callbacks view_callbacks(fleet_view::decode_function decode);
     node_registration::callbacks registration_callbacks();
     vm_entry own_entry() const;
+    std::optional<node_id> relay_around(const node_id& keeper);
     peer_listener::callbacks peer_callbacks();
 
     std::shared_ptr<served_request> serve(http_request request, time_point arrived,
--- a/src/mesh/quota_desk.cpp
+++ b/src/mesh/quota_desk.cpp
@@ -11,12 +11,20 @@
 
 /// Time for a keeper to answer: more than a round trip to a VM that runs five times slower.
 /// Requests look for a slot meanwhile.
-constexpr std::chrono::milliseconds answer_limit{150};
+constexpr std::chrono::milliseconds direct_limit{80};
+
+/// Time for an answer by way of another node, which waits for the keeper itself.
+constexpr std::chrono::milliseconds relayed_limit{120};
 
 } // namespace
 
 namespace {
 
+bool is_for_others(run_id id)
+{
+    return id > first_relayed_question;
+}
+
 std::string describe_limit(const organisation_limit& limit)
 {
     return fmt::format("rate {}/s, burst {}", limit.rate_per_second, limit.burst);
@@ -59,15 +67,51 @@
         done(this->decide_alone(organisation));
         return;
     }
-    auto limit_timer = std::make_shared<boost::asio::steady_timer>(this->context, answer_limit);
-    this->questions[id] = {organisation, std::move(done), limit_timer};
-    limit_timer->async_wait([this, id](const boost::system::error_code& error) {
-        const auto found = this->questions.find(id);
-        if (!error && found != this->questions.end()) {
-            this->finish(id, this->decide_alone(found->second.organisation));
+    this->ask_keeper(id, *holder, organisation, std::move(done));
+}
+
+void quota_desk::ask_keeper(run_id id, const node_id& holder, const organisation_id& organisation,
+                            done_function done)
+{
+    question asked;
+    asked.organisation = organisation;
+    asked.done = std::move(done);
+    asked.limit = std::make_shared<boost::asio::steady_timer>(this->context);
+    asked.keeper = holder;
+    asked.is_relayed = is_for_others(id);
+    this->questions[id] = std::move(asked);
+    this->arm_limit(id, direct_limit);
+    this->handlers.send(holder, quota_message{id, organisation, false});
+}
+
+void quota_desk::arm_limit(run_id id, std::chrono::milliseconds limit)
+{
+    const auto timer = this->questions.at(id).limit;
+    timer->expires_after(limit);
+    timer->async_wait([this, id, timer](const boost::system::error_code& error) {
+        if (!error && this->questions.contains(id)) {
+            this->on_limit(id);
         }
     });
-    this->handlers.send(*holder, quota_message{id, organisation});
+}
+
+void quota_desk::on_limit(run_id id)
+{
+    question& asked = this->questions.at(id);
+    const auto relay = asked.is_relayed ? std::nullopt : this->handlers.relay_to(asked.keeper);
+    if (!relay) {
+        this->finish(id, this->decide_without_keeper(id, asked.organisation));
+        return;
+    }
+    asked.is_relayed = true;
+    this->arm_limit(id, relayed_limit);
+    this->handlers.send(*relay, quota_message{id, asked.organisation, true});
+}
+
+quota_decision quota_desk::decide_without_keeper(run_id id, const organisation_id& organisation)
+{
+    // The spare part of this node is for its own callers.
+    return is_for_others(id) ? quota_decision{} : this->decide_alone(organisation);
 }
 
 quota_decision quota_desk::decide_alone(const organisation_id& organisation)
@@ -103,20 +147,42 @@
     }
 }
 
-quota_reply_message quota_desk::answer(const quota_message& asked)
+quota_reply_message quota_desk::decide_here(run_id id, const organisation_id& organisation)
 {
     quota_reply_message reply;
-    reply.id = asked.id;
-    reply.is_keeper = this->handlers.is_held(quota_group(asked.organisation));
+    reply.id = id;
+    reply.is_keeper = this->handlers.is_held(quota_group(organisation));
     if (reply.is_keeper) {
-        const auto wait = this->keeper.refuse(
-            asked.organisation, this->handlers.limit_of(asked.organisation), boot_clock::now());
+        const auto wait = this->keeper.refuse(organisation, this->handlers.limit_of(organisation),
+                                              boot_clock::now());
         reply.is_admitted = !wait;
         reply.retry_after = wait.value_or(std::chrono::milliseconds{0});
     }
     return reply;
 }
 
+void quota_desk::answer(const quota_message& asked, const reply_function& reply)
+{
+    const std::size_t group = quota_group(asked.organisation);
+    const auto holder = this->handlers.keeper_of(group);
+    const bool may_relay = asked.is_relayed && holder && *holder != this->self;
+    if (this->handlers.is_held(group) || !may_relay) {
+        reply(this->decide_here(asked.id, asked.organisation));
+        return;
+    }
+    this->ask_keeper(++this->last_relayed, *holder, asked.organisation,
+                     [id = asked.id, reply](const quota_decision& decision) {
+                         quota_reply_message answer;
+                         answer.id = id;
+                         // What this node could admit by itself is not the asker's to use.
+                         answer.is_keeper =
+                             decision.is_counted || decision.verdict == quota_verdict::over_limit;
+                         answer.is_admitted = decision.is_counted;
+                         answer.retry_after = decision.retry_after;
+                         reply(answer);
+                     });
+}
+
 void quota_desk::take_back(const quota_return_message& message)
 {
     if (this->handlers.is_held(quota_group(message.organisation))) {
@@ -131,7 +197,7 @@
         return;
     }
     if (!reply.is_keeper) {
-        this->finish(reply.id, this->decide_alone(found->second.organisation));
+        this->finish(reply.id, this->decide_without_keeper(reply.id, found->second.organisation));
         return;
     }
     const auto verdict = reply.is_admitted ? quota_verdict::admitted : quota_verdict::over_limit;
--- a/src/mesh/quota_desk.hpp
+++ b/src/mesh/quota_desk.hpp
@@ -42,6 +42,9 @@
 
 std::size_t quota_group(const organisation_id& organisation);
 
+/// Numbers of questions on behalf of other nodes begin here, apart from those of own requests.
+constexpr run_id first_relayed_question = run_id{1} << 63U;
+
 /// Asks the keeper of an organisation's quota, which may be this node.
 class quota_desk {
 public:
@@ -53,7 +56,10 @@
         std::function<organisation_limit(const organisation_id&)> limit_of;
         std::function<std::size_t()> fleet_size;
         std::function<void(const node_id&, link_message)> send;
+        /// Some other node that can be reached, by way of which a keeper is asked.
+        std::function<std::optional<node_id>(const node_id& keeper)> relay_to;
     };
+    using reply_function = std::function<void(const link_message&)>;
     using done_function = std::function<void(quota_decision)>;
 
     quota_desk(boost::asio::io_context& loop, const node_id& node, const quota_tolerance& allowed,
@@ -63,8 +69,8 @@
     /// Gives back the right of an admitted request that was not run.
     void give_back(const organisation_id& organisation);
 
-    /// Answers another node.
-    quota_reply_message answer(const quota_message& question);
+    /// Answers another node, at once or after asking the keeper on its behalf.
+    void answer(const quota_message& asked, const reply_function& reply);
     void take_back(const quota_return_message& message);
     void receive(const quota_reply_message& reply);
 
@@ -76,9 +82,17 @@
         organisation_id organisation;
         done_function done;
         std::shared_ptr<boost::asio::steady_timer> limit;
+        node_id keeper;
+        bool is_relayed = false;
     };
 
     quota_decision decide_alone(const organisation_id& organisation);
+    quota_decision decide_without_keeper(run_id id, const organisation_id& organisation);
+    quota_reply_message decide_here(run_id id, const organisation_id& organisation);
+    void ask_keeper(run_id id, const node_id& holder, const organisation_id& organisation,
+                    done_function done);
+    void arm_limit(run_id id, std::chrono::milliseconds limit);
+    void on_limit(run_id id);
     void finish(run_id id, const quota_decision& decision);
 
     boost::asio::io_context& context;
@@ -87,6 +101,8 @@
     spare_quota spare;
     callbacks handlers;
     std::map<run_id, question> questions;
+    /// Numbers of questions on behalf of others, apart from those of own requests.
+    run_id last_relayed = first_relayed_question;
 };
 
 } // namespace dragonflyroad
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -41,6 +41,9 @@
 /// few requests itself, so its slots do not stand idle during the round trip of an offer.
 constexpr std::size_t slots_per_extra = 4;
 
+/// An upstream's failure within this time of a failed call of its own is taken as caused by it.
+constexpr std::chrono::milliseconds call_failure_time{50};
+
 /// Weight of one run in the typical run time.
 constexpr double run_weight = 0.1;
 
@@ -404,7 +407,9 @@
     const time_point now = boot_clock::now();
     const auto* answer = std::get_if<answer_message>(&outcome);
     if (answer == nullptr || answer->status >= 500) {
-        this->health.note_failure(now);
+        if (answer == nullptr || now > this->call_failed_at + call_failure_time) {
+            this->health.note_failure(now);
+        }
         return;
     }
     this->health.note_success(now, answer->elapsed, entry->terms.expected_run);
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -47,6 +47,10 @@
     /// The link of a node has closed: its reservations are void, its runs go on.
     void detach(const node_id& from);
 
+    /// A call that the upstream made through this node has failed. An upstream answers with a
+    /// failure of its own then, which says nothing about it.
+    void note_failed_call() { this->call_failed_at = boot_clock::now(); }
+
     /// Declines new work from now on; running work goes on.
     void begin_stop();
 
@@ -114,6 +118,7 @@
     queue_ticket last_ticket = 0;
     std::size_t in_use = 0;
     time_point refused_until{};
+    time_point call_failed_at{};
     std::chrono::milliseconds typical_run{500};
     bool is_stopping = false;
     time_point next_tick{};
--- /dev/null
+++ b/test/support/memory_shared_store.hpp
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "mesh/shared_store.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+/// A shared store in memory for nodes of one process. Leases end only by end_lease().
+class memory_shared_store : public dragonflyroad::shared_store {
+public:
+    explicit memory_shared_store(boost::asio::io_context& loop) : context(loop) {}
+
+    /// While it is down every call fails.
+    void set_down(bool down) { this->is_down = down; }
+
+    void put(const std::string& key, const std::string& value, dragonflyroad::store_lease lease = 0)
+    {
+        this->items[key] = {{key, value, ++this->revision, false}, lease};
+    }
+
+    std::size_t count(const std::string& prefix) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->items.begin(), this->items.end(), [&](const auto& item) {
+                return item.first.starts_with(prefix) && !item.second.item.is_removed;
+            }));
+    }
+
+    void read(const std::string& prefix,
+              std::function<void(std::optional<dragonflyroad::stored_range>)> done) override
+    {
+        this->later([this, prefix, done = std::move(done)] {
+            if (this->is_down) {
+                done(std::nullopt);
+                return;
+            }
+            dragonflyroad::stored_range range;
+            range.revision = this->revision;
+            for (const auto& [key, row] : this->items) {
+                if (key.starts_with(prefix) && !row.item.is_removed) {
+                    range.items.push_back(row.item);
+                }
+            }
+            done(std::move(range));
+        });
+    }
+
+    void watch(const std::string&, dragonflyroad::store_revision after, std::chrono::milliseconds,
+               std::function<void(std::optional<dragonflyroad::stored_changes>)> done) override
+    {
+        // Answers at once or a moment later, which a watch may always do.
+        auto timer = std::make_shared<boost::asio::steady_timer>(this->context,
+                                                                 std::chrono::milliseconds{20});
+        timer->async_wait(
+            [this, after, timer, done = std::move(done)](const boost::system::error_code&) {
+                if (this->is_down) {
+                    done(std::nullopt);
+                    return;
+                }
+                dragonflyroad::stored_changes changes;
+                changes.revision = this->revision;
+                for (const auto& [key, row] : this->items) {
+                    if (row.item.revision > after) {
+                        changes.items.push_back(row.item);
+                    }
+                }
+                done(std::move(changes));
+            });
+    }
+
+    void commit(const dragonflyroad::commit_request& request,
+                std::function<void(dragonflyroad::commit_outcome)> done) override
+    {
+        this->later([this, request, done = std::move(done)] {
+            if (this->is_down) {
+                done(dragonflyroad::commit_outcome::unknown);
+                return;
+            }
+            for (const auto& condition : request.conditions) {
+                const auto found = this->items.find(condition.key);
+                const bool is_present =
+                    found != this->items.end() && !found->second.item.is_removed;
+                const auto known = is_present ? found->second.item.revision : 0;
+                if (known != condition.revision) {
+                    done(dragonflyroad::commit_outcome::conflict);
+                    return;
+                }
+            }
+            for (const auto& write : request.writes) {
+                this->put(write.key, write.value, write.lease);
+            }
+            for (const auto& key : request.removals) {
+                this->items[key] = {{key, "", ++this->revision, true}, 0};
+            }
+            done(dragonflyroad::commit_outcome::committed);
+        });
+    }
+
+    void grant_lease(std::chrono::milliseconds time_to_live,
+                     std::function<void(std::optional<dragonflyroad::lease_grant>)> done) override
+    {
+        this->later([this, time_to_live, done = std::move(done)] {
+            done(this->is_down
+                     ? std::nullopt
+                     : std::optional{dragonflyroad::lease_grant{++this->last_lease, time_to_live}});
+        });
+    }
+
+    void keep_lease(dragonflyroad::store_lease,
+                    std::function<void(dragonflyroad::lease_outcome)> done) override
+    {
+        this->later([this, done = std::move(done)] {
+            done(this->is_down ? dragonflyroad::lease_outcome::unknown
+                               : dragonflyroad::lease_outcome::kept);
+        });
+    }
+
+    void end_lease(dragonflyroad::store_lease lease) override
+    {
+        for (auto& [key, row] : this->items) {
+            if (row.lease == lease) {
+                row = {{key, "", ++this->revision, true}, 0};
+            }
+        }
+    }
+
+private:
+    struct stored_row {
+        dragonflyroad::stored_item item;
+        dragonflyroad::store_lease lease = 0;
+    };
+
+    template<typename Function>
+    void later(Function function)
+    {
+        boost::asio::post(this->context, std::move(function));
+    }
+
+    boost::asio::io_context& context;
+    std::map<std::string, stored_row> items;
+    dragonflyroad::store_revision revision = 1;
+    dragonflyroad::store_lease last_lease = 0;
+    bool is_down = false;
+};
--- /dev/null
+++ b/test/support/mesh_fleet.cpp
@@ -0,0 +1,181 @@
+#include "mesh_fleet.hpp"
+
+#include "platform/check_in.hpp"
+#include "platform/configuration_decoder.hpp"
+
+#include <utility>
+
+using namespace dragonflyroad;
+
+namespace {
+
+/// Ports of the test's addresses; each VM takes three. Outside the ephemeral range.
+constexpr int first_port = 23100;
+constexpr int ports_per_vm = 3;
+
+std::string address_of(std::size_t vm, int offset)
+{
+    return "127.0.0.1:" + std::to_string(first_port + static_cast<int>(vm) * ports_per_vm + offset);
+}
+
+mesh_settings settings_of(std::size_t vm)
+{
+    mesh_settings settings;
+    settings.node = node_id{"vm-" + std::to_string(vm)};
+    settings.centre = data_centre{vm % 2 == 0 ? "ikeja" : "lekki"};
+    settings.caller_service = service_name{"books"};
+    settings.caller_address = address_of(vm, 0);
+    settings.peer_address = address_of(vm, 1);
+    settings.configuration_key = "op/config";
+    settings.names = platform::platform_header_names();
+    return settings;
+}
+
+} // namespace
+
+/// A run that the upstream never answers; notices when its connection closes.
+class held_run : public served_request {
+public:
+    explicit held_run(loopback_upstream& owner) : upstream(owner) {}
+    void cancel() override { ++this->upstream.cancelled; }
+
+private:
+    loopback_upstream& upstream;
+};
+
+loopback_upstream::loopback_upstream(boost::asio::io_context& loop, std::string upstream_name)
+    : name(std::move(upstream_name)),
+      server(loop, server_callbacks{
+                       [this](const http_request& request, time_point, answer_function answer) {
+                           return this->serve(request, std::move(answer));
+                       },
+                       [](const request_head&) { return false; },
+                       [](decode_state) {
+                           return http_answer{400, {}, "", false};
+                       },
+                       [] { return caller_limits{}; }})
+{
+}
+
+std::shared_ptr<served_request> loopback_upstream::serve(const http_request& request,
+                                                         answer_function answer)
+{
+    const std::string id{find_header(request.head.headers, "X-Attempt-Id").value_or("")};
+    http_answer result{200, {{"X-Attempt-Id", id}}, this->name, true};
+    if (this->mood == upstream_mood::refuses) {
+        result.status = 503;
+        result.headers.push_back({"X-Not-Executed", "1"});
+        answer(std::move(result));
+        return nullptr;
+    }
+    this->runs.push_back(request);
+    if (this->mood == upstream_mood::never_answers) {
+        return std::make_shared<held_run>(*this);
+    }
+    result.status = this->mood == upstream_mood::fails ? 500 : 200;
+    result.headers.push_back({"X-Response-Signature", "signed"});
+    answer(std::move(result));
+    return nullptr;
+}
+
+mesh_fleet::mesh_fleet(std::size_t count)
+{
+    this->configure("r1", {"first-key"});
+    for (std::size_t index = 0; index < count; ++index) {
+        loopback_vm vm;
+        vm.upstream_address = address_of(index, 2);
+        vm.upstream =
+            std::make_unique<loopback_upstream>(this->context, "upstream-" + std::to_string(index));
+        vm.upstream->listen(vm.upstream_address);
+        vm.node = std::make_unique<mesh_node>(this->context, settings_of(index), this->store,
+                                              platform::decode_configuration);
+        vm.node->start();
+        vm.callers = std::make_unique<http_client_pool>(this->context, 1U << 20U);
+        vm.callers->set_address(address_of(index, 0));
+        this->vms.push_back(std::move(vm));
+    }
+    for (std::size_t index = 0; index < count; ++index) {
+        this->check_in(index, "ready", 1);
+    }
+    this->run_until([this] { return this->vms.front().node->is_ready(); });
+    this->run_until([this, count] {
+        return this->store.count("dragonflyroad/quota/") == quota_group_count &&
+               this->store.count("dragonflyroad/vm/") == count;
+    });
+    // Every node has read what the others wrote.
+    this->run_until([] { return false; }, std::chrono::milliseconds{1'100});
+}
+
+void mesh_fleet::configure(const std::string& version, const std::vector<std::string>& keys)
+{
+    const auto route = [](const char* kind, const char* prefix) {
+        return nlohmann::json{
+            {"host", "books.example"}, {"prefix", prefix},          {"kind", kind},
+            {"timeout", "2s"},         {"latency_objective", "1s"}, {"priority", 1},
+            {"service", "books"},      {"max_attempts", 2},         {"public", false}};
+    };
+    const nlohmann::json document{
+        {"version", version},
+        {"routes", {{"read", route("safe", "/read/")}, {"submit", route("unsafe", "/submit/")}}},
+        {"tenants", {{"council", {{"api_keys", keys}, {"rate_per_s", 100}, {"burst", 100}}}}}};
+    this->store.put("op/config", document.dump());
+}
+
+void mesh_fleet::check_in(std::size_t vm, const std::string& state, std::int64_t sequence)
+{
+    const nlohmann::json body{
+        {"address", this->vms[vm].upstream_address},
+        {"born", 1000},
+        {"info", {{"service", "books"}, {"version", "v1"}, {"zone", "ikeja"}, {"slots", 2}}},
+        {"status", {{"state", state}, {"sequence", sequence}, {"cold_remaining", "0ms"}}}};
+    const auto report = platform::decode_check_in("upstream-" + std::to_string(vm), body.dump());
+    this->vms[vm].node->report(*report);
+}
+
+bool mesh_fleet::run_until(const std::function<bool()>& condition, std::chrono::milliseconds limit)
+{
+    const time_point end = boot_clock::now() + limit;
+    while (!condition()) {
+        if (boot_clock::now() > end) {
+            return false;
+        }
+        this->context.run_for(std::chrono::milliseconds{5});
+    }
+    return true;
+}
+
+std::shared_ptr<client_connection> mesh_fleet::start(std::size_t vm, const std::string& method,
+                                                     std::function<void(exchange_result)> done)
+{
+    static int last_id = 0;
+    request_head head;
+    head.method = method;
+    head.target = method == "GET" ? "/read/item" : "/submit/item";
+    head.headers = {{"Host", "books.example"},
+                    {"X-Attempt-Id", "request-" + std::to_string(++last_id)},
+                    {"X-Deadline-Ms", "1500"},
+                    {"Api-Key", "first-key"},
+                    {"X-Tenant-Id", "forged"}};
+    exchange_request request;
+    request.bytes = encode_request(head, method == "GET" ? "" : "body");
+    request.method = method;
+    request.deadline = boot_clock::now() + std::chrono::seconds{4};
+    return this->vms[vm].callers->start(std::move(request), std::move(done));
+}
+
+exchange_result mesh_fleet::ask(std::size_t vm, const std::string& method)
+{
+    std::optional<exchange_result> result;
+    this->start(vm, method, [&](exchange_result end) { result = std::move(end); });
+    this->run_until([&] { return result.has_value(); });
+    return result.value_or(exchange_result{});
+}
+
+std::size_t mesh_fleet::total_runs() const
+{
+    std::size_t total = 0;
+    for (const loopback_vm& vm : this->vms) {
+        total += vm.upstream->runs.size();
+    }
+    return total;
+}
--- /dev/null
+++ b/test/support/mesh_fleet.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "memory_shared_store.hpp"
+#include "mesh/http_client_pool.hpp"
+#include "mesh/mesh_node.hpp"
+#include "platform/node_settings.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+/// How the upstream of a test treats a request.
+enum class upstream_mood { answers, fails, refuses, never_answers };
+
+/// An upstream in this process. It answers 200 with its name, echoing the request's id.
+class loopback_upstream {
+public:
+    loopback_upstream(boost::asio::io_context& loop, std::string upstream_name);
+
+    bool listen(const std::string& address) { return this->server.listen(address); }
+
+    upstream_mood mood = upstream_mood::answers;
+    std::vector<dragonflyroad::http_request> runs;
+    std::size_t cancelled = 0;
+
+private:
+    friend class held_run;
+
+    std::shared_ptr<dragonflyroad::served_request> serve(const dragonflyroad::http_request& request,
+                                                         dragonflyroad::answer_function answer);
+
+    std::string name;
+    dragonflyroad::http_server server;
+};
+
+/// A VM: a node and its upstream.
+struct loopback_vm {
+    std::unique_ptr<loopback_upstream> upstream;
+    std::unique_ptr<dragonflyroad::mesh_node> node;
+    std::string upstream_address;
+    std::unique_ptr<dragonflyroad::http_client_pool> callers;
+};
+
+/// A fleet of nodes in one process on loopback, one service, with a store in memory.
+class mesh_fleet {
+public:
+    explicit mesh_fleet(std::size_t vms);
+
+    /// Runs the loop until the condition holds; false when it does not within the time.
+    bool run_until(const std::function<bool()>& condition,
+                   std::chrono::milliseconds limit = std::chrono::seconds{8});
+
+    /// Sends a request to a VM's node and waits for the end.
+    dragonflyroad::exchange_result ask(std::size_t vm, const std::string& method);
+    std::shared_ptr<dragonflyroad::client_connection>
+    start(std::size_t vm, const std::string& method,
+          std::function<void(dragonflyroad::exchange_result)> done);
+
+    /// Writes a configuration in which `keys` belong to the one organisation.
+    void configure(const std::string& version, const std::vector<std::string>& keys);
+    void check_in(std::size_t vm, const std::string& state, std::int64_t sequence);
+    std::size_t total_runs() const;
+
+    boost::asio::io_context context;
+    memory_shared_store store{context};
+    std::vector<loopback_vm> vms;
+};
