--- a/test/correctness/test_dispatch.cpp
+++ b/test/correctness/test_dispatch.cpp
@@ -196,6 +196,7 @@
     const std::vector<node_id> nodes{node_id{"a"}, node_id{"b"}, node_id{"c"}, node_id{"d"}};
     random_engine random{1};
     std::vector<follow_choice> choices;
+    choices.reserve(nodes.size());
     for (const node_id& node : nodes) {
         choices.emplace_back(node);
     }
--- /dev/null
+++ b/test/correctness/test_mesh_formats.cpp
@@ -0,0 +1,167 @@
+#include "mesh/admission.hpp"
+#include "mesh/configuration_history.hpp"
+#include "mesh/link_message.hpp"
+#include "platform/check_in.hpp"
+#include "platform/configuration_decoder.hpp"
+#include "platform/node_settings.hpp"
+#include "platform/wire_values.hpp"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace dragonflyroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string configuration_text(int version, int routes)
+{
+    std::string listed;
+    for (int route = 0; route < routes; ++route) {
+        listed += fmt::format(R"({}"r-{}":{{"host":"books.example","prefix":"/a{}/","kind":"safe",)"
+                              R"("timeout":"2.5s","latency_objective":"1000ms","priority":2,)"
+                              R"("service":"books","max_attempts":2,"public":false}})",
+                              route == 0 ? "" : ",", route, route);
+    }
+    return fmt::format(R"({{"version":"r{}","routes":{{{}}},"tenants":{{"council":)"
+                       R"({{"api_keys":["secret-key"],"rate_per_s":5,"burst":5}}}}}})",
+                       version, listed);
+}
+
+admission_result ask(const admission_view& view, const std::string& target, const std::string& key)
+{
+    http_request request;
+    request.head.method = "GET";
+    request.head.target = target;
+    request.head.headers = {{"Host", "books.example:80"}};
+    if (!key.empty()) {
+        request.head.headers.push_back({"Api-Key", key});
+    }
+    random_engine random{1};
+    return admit(std::move(request), time_point{} + 1h, view, platform::platform_header_names(),
+                 random);
+}
+
+refusal_reason refused_for(const admission_result& result)
+{
+    const auto* refused = std::get_if<refused_admission>(&result);
+    return refused == nullptr ? refusal_reason::count : refused->reason;
+}
+
+} // namespace
+
+TEST_CASE("a message between nodes arrives as it was sent")
+{
+    run_message sent;
+    sent.id = 7;
+    sent.time_left = 1200ms;
+    sent.head = {"POST", "/a/b?c=d", {{"Host", "x"}, {"X-Attempt-Id", "1"}}};
+    sent.body = std::string{"\x00\xff\x80 bytes", 9};
+    const auto received = decode_link_message(encode_link_message(sent), "peer");
+    REQUIRE(received.has_value());
+    const auto& message = std::get<run_message>(*received);
+    CHECK(message.id == 7);
+    CHECK(message.time_left == 1200ms);
+    CHECK(message.head.target == sent.head.target);
+    CHECK(message.head.headers.size() == 2);
+    CHECK(message.body == sent.body);
+}
+
+// Guards against a peer whose bytes end the process.
+TEST_CASE("bytes that are no message are refused with a reason")
+{
+    CHECK_FALSE(decode_link_message("", "peer").has_value());
+    CHECK_FALSE(decode_link_message("\xff\xff", "peer").has_value());
+    std::string cut = encode_link_message(release_message{3});
+    cut.pop_back();
+    CHECK_FALSE(decode_link_message(cut, "peer").has_value());
+}
+
+// Guards against changes that cost the whole configuration for each follower.
+TEST_CASE("a change of one route travels as a small patch and gives the same table")
+{
+    configuration_history source;
+    configuration_history follower;
+    const auto first = platform::decode_configuration(configuration_text(1, 200));
+    const auto second = platform::decode_configuration(configuration_text(2, 201));
+    REQUIRE(first.has_value());
+    REQUIRE(second.has_value());
+    source.add(*first);
+    follower.add(*first);
+    source.add(*second);
+    const std::string update = source.update_from(1);
+    CHECK(update.size() < 1024);
+    const auto adopted = follower.apply(update, "source");
+    REQUIRE(adopted.has_value());
+    CHECK(adopted->to_json() == second->to_json());
+    CHECK(source.update_from(2).empty());
+    configuration_history stranger;
+    CHECK_FALSE(stranger.apply(update, "source").has_value());
+    CHECK(stranger.apply(source.update_from(0), "source").has_value());
+}
+
+TEST_CASE("the longest prefix of the path selects the route")
+{
+    routing_table table;
+    for (const char* prefix : {"/a/", "/a/b/", "/"}) {
+        route_rule route;
+        route.name = route_name{prefix};
+        route.host = "books.example";
+        route.prefix = prefix;
+        table.add_route(route);
+    }
+    CHECK(table.match("Books.Example:80", "/a/b/c?d=/x/")->name.value == "/a/b/");
+    CHECK(table.match("books.example", "/a/bc")->name.value == "/a/");
+    CHECK(table.match("books.example", "/ab")->name.value == "/");
+    CHECK(table.match("other.example", "/a/") == nullptr);
+}
+
+// Guards against requests that are refused for good on an old configuration.
+TEST_CASE("what an old configuration does not know is refused as not known yet")
+{
+    admission_view view;
+    CHECK(refused_for(ask(view, "/a0/", "secret-key")) == refusal_reason::configuration_missing);
+    view.table = std::make_shared<const routing_table>(
+        *platform::decode_configuration(configuration_text(1, 1)));
+    CHECK(refused_for(ask(view, "/b/", "secret-key")) == refusal_reason::configuration_missing);
+    CHECK(refused_for(ask(view, "/a0/", "secret-key")) == refusal_reason::key_unverified);
+    view.may_trust_keys = true;
+    CHECK(refused_for(ask(view, "/a0/", "other-key")) == refusal_reason::key_unverified);
+    CHECK(refused_for(ask(view, "/a0/", "secret-key")) == refusal_reason::count);
+    view.is_current = true;
+    CHECK(refused_for(ask(view, "/b/", "secret-key")) == refusal_reason::route_unknown);
+    CHECK(refused_for(ask(view, "/a0/", "other-key")) == refusal_reason::key_unknown);
+    CHECK(refused_for(ask(view, "/a0/", "")) == refusal_reason::key_missing);
+}
+
+// Guards against check-ins of other writers that name an upstream.
+TEST_CASE("a check-in with a missing, mistyped or unknown field names no upstream")
+{
+    const std::string info = R"("info":{"service":"books","slots":3})";
+    const std::string status = R"("status":{"state":"ready","sequence":4,"cold_remaining":"2s"})";
+    const auto decode = [](const std::string& body) {
+        return platform::decode_check_in("i-1", body).has_value();
+    };
+    CHECK(decode(R"({"address":"1.2.3.4:5","born":7,)" + info + "," + status + "}"));
+    CHECK_FALSE(decode(R"({"address":"1.2.3.4:5","born":7.5,)" + info + "," + status + "}"));
+    CHECK_FALSE(decode(R"({"born":7,)" + info + "," + status + "}"));
+    CHECK_FALSE(decode(R"({"address":"1.2.3.4:5",)" + info + "}"));
+    CHECK_FALSE(decode(R"({"address":"1.2.3.4:5",)" + info +
+                       R"(,"status":{"state":"asleep","sequence":4}})"));
+    CHECK_FALSE(decode("not JSON"));
+}
+
+TEST_CASE("times, versions and stored bytes of the platform")
+{
+    CHECK(platform::parse_time("1500ms") == 1500ms);
+    CHECK(platform::parse_time("2.5s") == 2500ms);
+    CHECK_FALSE(platform::parse_time("2.5").has_value());
+    CHECK_FALSE(platform::parse_time("-1s").has_value());
+    CHECK(platform::parse_version("r12") == 12);
+    CHECK_FALSE(platform::parse_version("12").has_value());
+    CHECK_FALSE(platform::parse_version("r12x").has_value());
+    for (const std::string bytes : {"", "a", "ab", "abc", "abcd"}) {
+        CHECK(platform::decode_base64(platform::encode_base64(bytes)) == bytes);
+    }
+    CHECK_FALSE(platform::decode_base64("a").has_value());
+}
