--- a/src/adapters/http_message.cpp
+++ b/src/adapters/http_message.cpp
@@ -31,13 +31,6 @@
         names, [&](std::string_view known) { return equal_ignoring_case(known, name); });
 }
 
-std::string lower_case(std::string_view text)
-{
-    std::string lowered{text};
-    std::ranges::transform(lowered, lowered.begin(), to_lower);
-    return lowered;
-}
-
 /// Upstreams may resolve dot segments, so that a path could leave the route it was matched to.
 bool has_dot_segment(std::string_view path)
 {
@@ -105,6 +98,13 @@
 
 } // namespace
 
+std::string lower_case(std::string_view text)
+{
+    std::string lowered{text};
+    std::ranges::transform(lowered, lowered.begin(), to_lower);
+    return lowered;
+}
+
 bool equal_ignoring_case(std::string_view left, std::string_view right)
 {
     return std::ranges::equal(left, right, {}, to_lower, to_lower);
--- a/src/adapters/http_message.hpp
+++ b/src/adapters/http_message.hpp
@@ -31,6 +31,9 @@
     std::optional<std::uint64_t> length;
 };
 
+/// The text with its ASCII letters in lower case.
+std::string lower_case(std::string_view text);
+
 /// Compares header names and tokens, which ignore case.
 bool equal_ignoring_case(std::string_view left, std::string_view right);
 
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -22,6 +22,9 @@
 
 using time_point = boot_clock::time_point;
 
+/// The whole milliseconds from one time to another; negative when the second is earlier.
+std::chrono::milliseconds milliseconds_between(time_point from, time_point to);
+
 /// Converts a time point to whole milliseconds since boot, for messages and log lines.
 std::chrono::milliseconds to_milliseconds(time_point time);
 
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -36,7 +36,6 @@
     void note_cost(const node_id& vm, std::chrono::milliseconds cost, time_point now);
     void note_unreachable(const node_id& vm, time_point now);
     void note_reachable(const node_id& vm);
-    void forget(const node_id& vm) { this->memories.erase(vm); }
 
     bool is_unreachable(const node_id& vm, time_point now) const;
 
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -50,11 +50,6 @@
 /// Interval of the checks while a request runs.
 constexpr milliseconds run_check_interval{100};
 
-milliseconds between(time_point start, time_point end)
-{
-    return std::chrono::duration_cast<milliseconds>(end - start);
-}
-
 } // namespace
 
 dispatched_request::dispatched_request(dispatcher& owner, quota_desk& quotas,
@@ -113,11 +108,11 @@
 {
     const time_point now = boot_clock::now();
     const milliseconds run = this->expected_run();
-    const milliseconds until_deadline = between(now, this->accepted.deadline) - run;
+    const milliseconds until_deadline = milliseconds_between(now, this->accepted.deadline) - run;
     const milliseconds until_objective =
-        between(now, this->accepted.arrived + this->accepted.route.objective) - run;
+        milliseconds_between(now, this->accepted.arrived + this->accepted.route.objective) - run;
     // A call holds its caller's slot, so ending it late is better than losing the work behind it.
-    const bool may_be_late = !this->accepted.rank.is_new_request || this->has_run_elsewhere();
+    const bool may_be_late = !this->accepted.rank.is_new_request || this->runs_started > 0;
     return std::max(may_be_late ? until_deadline : std::min(until_objective, until_deadline),
                     milliseconds{1});
 }
@@ -162,26 +157,22 @@
     this->round = 0;
 }
 
-bool dispatched_request::has_unasked_vms() const
+std::vector<placement_candidate> dispatched_request::unasked_vms() const
 {
-    const auto candidates = this->shared.directory.candidates(
-        this->accepted.service, this->shared.self, this->shared.centre);
-    return std::ranges::any_of(candidates, [&](const placement_candidate& candidate) {
-        return !this->reservations.contains(candidate.vm) && !this->declined.contains(candidate.vm);
+    auto candidates = this->shared.directory.candidates(this->accepted.service, this->shared.self,
+                                                        this->shared.centre);
+    std::erase_if(candidates, [&](const placement_candidate& candidate) {
+        return this->reservations.contains(candidate.vm) || this->declined.contains(candidate.vm);
     });
+    return candidates;
 }
 
 bool dispatched_request::ask_more(std::size_t count)
 {
     const time_point now = boot_clock::now();
-    auto candidates = this->shared.directory.candidates(this->accepted.service, this->shared.self,
-                                                        this->shared.centre);
-    std::erase_if(candidates, [&](const placement_candidate& candidate) {
-        return this->reservations.contains(candidate.vm) || this->declined.contains(candidate.vm);
-    });
     const std::size_t room =
         most_reservations - std::min(most_reservations, this->reservations.size());
-    const auto chosen = this->shared.places.choose(std::move(candidates), std::min(count, room),
+    const auto chosen = this->shared.places.choose(this->unasked_vms(), std::min(count, room),
                                                    this->shared.random, now);
     reserve_message message;
     message.id = this->round;
@@ -261,8 +252,8 @@
         return;
     }
     const bool is_cheap = this->reservations[*best].cost <= small_cost;
-    const bool may_improve =
-        awaits_reply || (this->has_unasked_vms() && this->reservations.size() < most_reservations);
+    const bool may_improve = awaits_reply || (!this->unasked_vms().empty() &&
+                                              this->reservations.size() < most_reservations);
     if (is_cheap || !may_improve || boot_clock::now() > this->round_began + better_offer_limit) {
         this->hand_over(*best);
     }
@@ -281,7 +272,7 @@
     ++this->runs_started;
     run_message message;
     message.id = id;
-    message.time_left = between(now, this->accepted.deadline);
+    message.time_left = milliseconds_between(now, this->accepted.deadline);
     message.head.method = this->accepted.request.head.method;
     message.head.target = this->accepted.request.head.target;
     message.head.headers =
@@ -293,7 +284,7 @@
         .add("service", this->accepted.service.value)
         .add("vm", vm.value)
         .add("cost_ms", taken.cost.count())
-        .add("waited_ms", between(this->accepted.arrived, now).count())
+        .add("waited_ms", milliseconds_between(this->accepted.arrived, now).count())
         .add("asked", this->reservations.size() + this->declined.size())
         .add("run", this->runs_started);
     this->reservations.erase(vm);
@@ -511,7 +502,7 @@
     log_line{"answer"}
         .add("request", this->accepted.id)
         .add("status", message.status)
-        .add("elapsed_ms", between(this->accepted.arrived, boot_clock::now()).count())
+        .add("elapsed_ms", milliseconds_between(this->accepted.arrived, boot_clock::now()).count())
         .add("runs", this->runs_started);
     this->finish(std::move(answer));
 }
@@ -524,7 +515,8 @@
     refused.detail = detail;
     refused.revision = this->accepted.revision;
     if (executed == ran::no && this->shortest_wait) {
-        const milliseconds left = between(boot_clock::now(), this->accepted.deadline) / 3;
+        const milliseconds left =
+            milliseconds_between(boot_clock::now(), this->accepted.deadline) / 3;
         refused.retry_after =
             std::clamp(*this->shortest_wait, milliseconds{100}, std::max(left, milliseconds{100}));
     }
@@ -541,7 +533,7 @@
         .add("route", this->accepted.route.name.value)
         .add("service", this->accepted.service.value)
         .add("revision", this->accepted.revision)
-        .add("elapsed_ms", between(this->accepted.arrived, boot_clock::now()).count())
+        .add("elapsed_ms", milliseconds_between(this->accepted.arrived, boot_clock::now()).count())
         .add("declined", this->declined.size())
         .add("detail", detail);
     http_answer answer;
@@ -586,7 +578,7 @@
     this->shared.counters.count_lost_client();
     log_line{"caller_gone"}
         .add("request", this->accepted.id)
-        .add("elapsed_ms", between(this->accepted.arrived, boot_clock::now()).count())
+        .add("elapsed_ms", milliseconds_between(this->accepted.arrived, boot_clock::now()).count())
         .add("runs", this->runs_started);
     if (this->is_counted && this->runs_started == 0) {
         this->quota.give_back(this->accepted.organisation);
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -72,7 +73,8 @@
     void begin_round();
     void end_round();
     bool ask_more(std::size_t count);
-    bool has_unasked_vms() const;
+    /// VMs of the service that are neither asked nor have declined in this round.
+    std::vector<placement_candidate> unasked_vms() const;
     void decide();
     void hand_over(const node_id& vm);
     void after_decline();
@@ -88,7 +90,6 @@
     std::chrono::milliseconds expected_run() const;
     std::chrono::milliseconds start_within() const;
     std::chrono::milliseconds failure_cost() const;
-    bool has_run_elsewhere() const { return this->runs_started > 0; }
 
     dispatcher& shared;
     quota_desk& quota;
--- a/src/mesh/routing_table.cpp
+++ b/src/mesh/routing_table.cpp
@@ -1,5 +1,6 @@
 #include "mesh/routing_table.hpp"
 
+#include "adapters/http_message.hpp"
 #include "core/failure.hpp"
 
 #include <algorithm>
@@ -13,16 +14,6 @@
 
 using nlohmann::json;
 
-std::string lower_case(std::string_view text)
-{
-    std::string lowered{text};
-    std::ranges::transform(lowered, lowered.begin(), [](char character) {
-        return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a')
-                                                    : character;
-    });
-    return lowered;
-}
-
 /// The name in a Host header, without the port.
 std::string host_name(std::string_view host)
 {
--- a/src/mesh/routing_table.hpp
+++ b/src/mesh/routing_table.hpp
@@ -83,10 +83,6 @@
     /// The organisation that holds the key with this digest.
     const organisation_id* owner_of(const std::string& digest) const;
     const organisation_rule* find_organisation(const organisation_id& id) const;
-    const std::map<organisation_id, organisation_rule>& all_organisations() const
-    {
-        return this->organisations;
-    }
 
     /// The form in which nodes pass a configuration to each other.
     nlohmann::json to_json() const;
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -47,11 +47,6 @@
 /// Weight of one run in the typical run time.
 constexpr double run_weight = 0.1;
 
-std::chrono::milliseconds elapsed_since(time_point start, time_point now)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now - start);
-}
-
 } // namespace
 
 upstream_runner::upstream_runner(boost::asio::io_context& loop, const header_names& header_set)
@@ -354,7 +349,7 @@
     log_line{"run_end"}
         .add("request", entry->request_id)
         .add("status", answer != nullptr ? answer->status : 0)
-        .add("elapsed_ms", elapsed_since(entry->started_at, now).count())
+        .add("elapsed_ms", milliseconds_between(entry->started_at, now).count())
         .add("failure_share", this->health.failure_share(now))
         .add("slowdown", this->health.slowdown(now))
         .add("detail", detail);
@@ -385,7 +380,7 @@
     if (!is_whole_answer(answer.status, answer.headers, this->names)) {
         return failed_message{id, run_failure::unknown, "the answer is not the upstream's own"};
     }
-    const auto elapsed = elapsed_since(entry->started_at, boot_clock::now());
+    const auto elapsed = milliseconds_between(entry->started_at, boot_clock::now());
     return answer_message{id, answer.status, end_to_end_headers(answer.headers),
                           std::move(answer.body), elapsed};
 }
@@ -456,8 +451,8 @@
     std::chrono::milliseconds oldest{0};
     for (const auto& [key, entry] : this->runs) {
         if (entry->state == stage::running) {
-            oldest =
-                std::max(oldest, elapsed_since(entry->started_at, now) - entry->terms.expected_run);
+            oldest = std::max(oldest, milliseconds_between(entry->started_at, now) -
+                                          entry->terms.expected_run);
         }
     }
     return oldest;
