Ask the quota before any slot

Cause: a request reserved slots and asked its quota keeper at the same time; an offered slot stood idle until the keeper answered, up to 200 ms when it was cut off, and requests above a limit reserved for nothing. Change: slots are reserved once the quota has admitted the request; one round trip more (2 to 6 ms).

--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -65,12 +65,13 @@
 void dispatched_request::start()
 {
     this->shared.repeats.note_request(this->accepted.service, boot_clock::now());
-    this->has_quota = !this->accepted.needs_quota;
-    this->begin_round();
-    if (this->has_quota || this->is_done) {
+    if (!this->accepted.needs_quota) {
+        this->begin_round();
         return;
     }
-    this->quota.ask(this->round, this->accepted.organisation,
+    // Slots are asked for only when the organisation may use them: a slot that is offered stands
+    // idle until the offer is taken, and a keeper that is cut off answers after 200 ms.
+    this->quota.ask(this->shared.draw_id(), this->accepted.organisation,
                     [weak = this->weak_from_this()](const quota_decision& decision) {
                         if (const auto self = weak.lock()) {
                             self->on_quota(decision);
@@ -88,8 +89,7 @@
         return;
     }
     if (decision.verdict == quota_verdict::admitted) {
-        this->has_quota = true;
-        this->decide();
+        this->begin_round();
         return;
     }
     this->shortest_wait = decision.retry_after;
@@ -236,7 +236,7 @@
 
 void dispatched_request::decide()
 {
-    if (this->is_done || !this->has_quota || this->round == 0) {
+    if (this->is_done || this->round == 0) {
         return;
     }
     std::vector<placement_reply> replies;
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -33,8 +33,8 @@
     bool needs_quota = false;
 };
 
-/// One request on its way to an upstream. It is reserved at a few VMs at a time and handed over to
-/// the first good offer; what fails before that is taken elsewhere without risk. A repeatable
+/// One request on its way to an upstream. Once its organisation's quota admits it, it is reserved at
+/// a few VMs at a time and handed over to the first good offer; what fails before that is taken elsewhere without risk. A repeatable
 /// request is sent once more after a failure or when it takes unusually long, within the budget for
 /// repeats. Of several runs the first good answer counts.
 class dispatched_request : public served_request,
@@ -109,7 +109,6 @@
     std::size_t rounds_started = 0;
     time_point round_began{};
     time_point next_ask{};
-    bool has_quota = false;
     bool is_counted = false;
     bool was_overloaded = false;
     bool is_done = false;
--- a/src/mesh/dispatcher.cpp
+++ b/src/mesh/dispatcher.cpp
@@ -21,8 +21,9 @@
 
 run_id dispatcher::register_round(const std::shared_ptr<dispatched_request>& request)
 {
-    this->rounds[++this->last_round] = request;
-    return this->last_round;
+    const run_id id = this->draw_id();
+    this->rounds[id] = request;
+    return id;
 }
 
 std::shared_ptr<dispatched_request> dispatcher::find(run_id id) const
--- a/src/mesh/dispatcher.hpp
+++ b/src/mesh/dispatcher.hpp
@@ -45,6 +45,8 @@
     /// Whether any reply of the node is awaited.
     bool awaits(const node_id& node) const;
 
+    /// A number that no other round or question of this node has.
+    run_id draw_id() { return ++this->last_round; }
     run_id register_round(const std::shared_ptr<dispatched_request>& request);
     void end_round(run_id id) { this->rounds.erase(id); }
     void send(const node_id& node, const link_message& message) { this->sender(node, message); }
--- /dev/null
+++ b/test/support/request_probe.cpp
@@ -0,0 +1,119 @@
+#include "request_probe.hpp"
+
+#include <variant>
+
+using namespace dragonflyroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double organisation_rate = 100;
+
+quota_desk::callbacks quota_callbacks(dispatcher& shared)
+{
+    quota_desk::callbacks functions;
+    functions.keeper_of = [](std::size_t) { return node_id{"keeper"}; };
+    functions.is_held = [](std::size_t) { return false; };
+    functions.limit_of = [](const organisation_id&) {
+        return organisation_limit{organisation_rate, organisation_rate};
+    };
+    functions.fleet_size = [] { return std::size_t{1}; };
+    functions.relay_to = [](const node_id&) { return std::nullopt; };
+    functions.send = [&shared](const node_id& to, const link_message& message) {
+        shared.send(to, message);
+    };
+    return functions;
+}
+
+} // namespace
+
+request_probe::request_probe(std::size_t vms)
+    : shared(this->context, this->names, node_id{"self"}, data_centre{"ikeja"}, repeat_limit{}),
+      quota(this->context, node_id{"self"}, quota_tolerance{}, quota_callbacks(this->shared))
+{
+    this->shared.set_sender([this](const node_id& to, const link_message& message) {
+        this->sent.emplace_back(to, message);
+    });
+    this->shared.reconnect = [](const node_id&) {};
+    this->shared.call_failed = [] {};
+    for (std::size_t index = 0; index < vms; ++index) {
+        vm_entry entry;
+        entry.node = node_id{"vm-" + std::to_string(index)};
+        entry.service = service_name{"books"};
+        entry.centre = data_centre{"ikeja"};
+        entry.slots = 2;
+        this->shared.directory.put(entry);
+    }
+}
+
+void request_probe::start(const std::string& method, bool has_quota)
+{
+    accepted_request accepted;
+    accepted.id = "request-1";
+    accepted.request.head.method = method;
+    accepted.route.name = route_name{"books"};
+    accepted.route.kind = method == "GET" ? repeat_kind::repeatable : repeat_kind::at_most_once;
+    accepted.route.objective = 2s;
+    accepted.route.max_attempts = 2;
+    accepted.service = service_name{"books"};
+    accepted.organisation = organisation_id{"council"};
+    accepted.needs_quota = has_quota;
+    accepted.arrived = boot_clock::now();
+    accepted.deadline = accepted.arrived + 5s;
+    this->request = std::make_shared<dispatched_request>(
+        this->shared, this->quota, std::move(accepted),
+        [this](http_answer given) { this->answer = std::move(given); });
+    this->request->start();
+}
+
+void request_probe::admit()
+{
+    for (const auto& [node, message] : this->sent) {
+        if (const auto* asked = std::get_if<quota_message>(&message)) {
+            this->quota.receive(quota_reply_message{asked->id, true, true, 0ms});
+            return;
+        }
+    }
+}
+
+run_id request_probe::last_reservation(const node_id& vm) const
+{
+    run_id last = 0;
+    for (const auto& [node, message] : this->sent) {
+        const auto* terms = std::get_if<reserve_message>(&message);
+        if (node == vm && terms != nullptr) {
+            last = terms->id;
+        }
+    }
+    return last;
+}
+
+void request_probe::offer(const node_id& vm, std::chrono::milliseconds cost)
+{
+    this->shared.receive(vm, place_message{this->last_reservation(vm), true, cost});
+}
+
+void request_probe::wait_at(const node_id& vm, std::chrono::milliseconds wait)
+{
+    this->shared.receive(vm, place_message{this->last_reservation(vm), false, wait});
+}
+
+void request_probe::decline(const node_id& vm)
+{
+    this->shared.receive(
+        vm, decline_message{this->last_reservation(vm), decline_reason::overloaded, 500ms});
+}
+
+void request_probe::fail(const node_id& vm)
+{
+    answer_message failed;
+    failed.id = this->last_reservation(vm);
+    failed.status = 500;
+    this->shared.receive(vm, failed);
+}
+
+void request_probe::pass(std::chrono::milliseconds time)
+{
+    this->context.restart();
+    this->context.run_for(time);
+}
--- /dev/null
+++ b/test/support/request_probe.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "mesh/dispatched_request.hpp"
+#include "mesh/dispatcher.hpp"
+#include "mesh/quota_desk.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+/// One request of a node whose peers are the test: messages to other VMs are recorded, and the test
+/// answers them. VMs are named "vm-0" to "vm-N"; organisation "council" has its quota at "keeper".
+class request_probe {
+public:
+    explicit request_probe(std::size_t vms);
+
+    /// Starts a request; `method` decides whether it may run again.
+    void start(const std::string& method, bool has_quota);
+    void admit();
+
+    void offer(const dragonflyroad::node_id& vm, std::chrono::milliseconds cost);
+    void wait_at(const dragonflyroad::node_id& vm, std::chrono::milliseconds wait);
+    void decline(const dragonflyroad::node_id& vm);
+    void fail(const dragonflyroad::node_id& vm);
+
+    /// Lets timers run for this long.
+    void pass(std::chrono::milliseconds time);
+
+    /// The VMs that a kind of message was sent to, in order.
+    template<typename Message>
+    std::vector<dragonflyroad::node_id> receivers() const
+    {
+        std::vector<dragonflyroad::node_id> nodes;
+        for (const auto& [node, message] : this->sent) {
+            if (std::holds_alternative<Message>(message)) {
+                nodes.push_back(node);
+            }
+        }
+        return nodes;
+    }
+
+    std::optional<dragonflyroad::http_answer> answer;
+
+private:
+    dragonflyroad::run_id last_reservation(const dragonflyroad::node_id& vm) const;
+
+    boost::asio::io_context context;
+    dragonflyroad::header_names names;
+    dragonflyroad::dispatcher shared;
+    dragonflyroad::quota_desk quota;
+    std::vector<std::pair<dragonflyroad::node_id, dragonflyroad::link_message>> sent;
+    std::shared_ptr<dragonflyroad::dispatched_request> request;
+};
