Take or return offers within a round trip

Change: one offer at most is held, 12 ms, while other VMs are asked; others go back at once. A VM whose offer was returned is asked again when every other one declines. A failure of work that may not run again weighs three objectives of waiting.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -80,6 +80,17 @@
     return chosen;
 }
 
+std::optional<placement_reply> cheapest_offer(const std::vector<placement_reply>& replies)
+{
+    std::optional<placement_reply> cheapest;
+    for (const placement_reply& reply : replies) {
+        if (reply.is_offer && (!cheapest || reply.cost < cheapest->cost)) {
+            cheapest = reply;
+        }
+    }
+    return cheapest;
+}
+
 std::optional<node_id> best_offer(const std::vector<placement_reply>& replies)
 {
     const auto cheaper = [](const placement_reply& left, const placement_reply& right) {
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -58,6 +58,9 @@
     std::chrono::milliseconds cost{0};
 };
 
+/// The offer with the lowest cost.
+std::optional<placement_reply> cheapest_offer(const std::vector<placement_reply>& replies);
+
 /// The offer to take now: the cheapest one, unless a VM where the request waits is expected to be
 /// better by more than the wait. Nothing means to go on waiting.
 std::optional<node_id> best_offer(const std::vector<placement_reply>& replies);
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -25,8 +25,9 @@
 /// An offer with a cost up to this is taken at once: asking more VMs holds slots at each of them.
 constexpr milliseconds small_cost{25};
 
-/// A dearer offer is taken after this time without a better one.
-constexpr milliseconds better_offer_limit{30};
+/// How long a dearer offer is held while other VMs are asked: one round trip between data centres
+/// and the replies of slow VMs. The slot stands idle meanwhile.
+constexpr milliseconds hold_limit{12};
 
 /// Without any reply for this time no VM can be reached.
 constexpr milliseconds no_reply_limit{600};
@@ -47,6 +48,10 @@
 /// Before the first run of a route its time is taken to be this part of its objective.
 constexpr int objective_per_run = 3;
 
+/// Objectives of waiting time that a failure is worth. A request that may not run again is lost for
+/// good, while one that waits within its objective loses nothing.
+constexpr int objectives_per_failure = 3;
+
 /// A call that fails takes its caller's run with it, which is several times as long.
 constexpr int objectives_per_call = 2;
 
@@ -123,8 +128,11 @@
 {
     const bool may_run_again = this->accepted.route.may_repeat() &&
                                this->runs_started + 1 < this->accepted.route.max_attempts;
-    const int objectives = this->accepted.rank.is_new_request ? 1 : objectives_per_call;
-    return this->accepted.route.objective * objectives / (may_run_again ? 2 : 1);
+    if (may_run_again) {
+        const int objectives = this->accepted.rank.is_new_request ? 1 : objectives_per_call;
+        return this->accepted.route.objective * objectives / 2;
+    }
+    return this->accepted.route.objective * objectives_per_failure;
 }
 
 void dispatched_request::begin_round()
@@ -135,6 +143,8 @@
     ++this->rounds_started;
     this->was_overloaded = false;
     this->declined = this->tried;
+    this->passed_over.clear();
+    this->hold_until = {};
     if (!this->ask_more(first_asked)) {
         // Every upstream of the service has had the request; a second try there beats none.
         this->declined.clear();
@@ -164,7 +174,8 @@
     auto candidates = this->shared.directory.candidates(this->accepted.service, this->shared.self,
                                                         this->shared.centre);
     std::erase_if(candidates, [&](const placement_candidate& candidate) {
-        return this->reservations.contains(candidate.vm) || this->declined.contains(candidate.vm);
+        return this->reservations.contains(candidate.vm) ||
+               this->declined.contains(candidate.vm) || this->passed_over.contains(candidate.vm);
     });
     return candidates;
 }
@@ -205,7 +216,11 @@
         this->shared.send(from, release_message{message.id});
         return;
     }
-    found->second = {true, message.is_offer, message.cost};
+    const time_point now = boot_clock::now();
+    found->second = {true, message.is_offer, message.cost, now};
+    if (message.is_offer && this->hold_until == time_point{}) {
+        this->hold_until = now + hold_limit;
+    }
     this->decide();
 }
 
@@ -238,37 +253,70 @@
         this->decide();
         return;
     }
+    // Nothing better came; an upstream that fails some requests beats a refusal.
+    if (!std::exchange(this->passed_over, {}).empty() && this->ask_more(more_asked)) {
+        return;
+    }
     this->repeat_or_refuse(this->was_overloaded ? refusal_reason::overload_shed
                                                 : refusal_reason::no_healthy_upstream,
                            ran::no, "every upstream declined");
 }
 
+std::vector<placement_reply> dispatched_request::replies(time_point now) const
+{
+    std::vector<placement_reply> given;
+    for (const auto& [vm, place] : this->reservations) {
+        if (place.has_reply) {
+            const milliseconds waited = place.is_offer ? milliseconds{0}
+                                                       : milliseconds_between(place.at, now);
+            given.push_back({vm, place.is_offer, std::max(place.cost - waited, milliseconds{0})});
+        }
+    }
+    return given;
+}
+
+bool dispatched_request::awaits_reply() const
+{
+    return std::ranges::any_of(this->reservations,
+                               [](const auto& item) { return !item.second.has_reply; });
+}
+
+void dispatched_request::return_offers(const std::optional<node_id>& kept)
+{
+    for (const auto& [vm, place] : std::map{this->reservations}) {
+        if (place.is_offer && vm != kept) {
+            this->shared.send(vm, release_message{this->round});
+            this->reservations.erase(vm);
+            this->passed_over.insert(vm);
+        }
+    }
+}
+
 void dispatched_request::decide()
 {
     if (this->is_done || this->round == 0) {
         return;
     }
-    std::vector<placement_reply> replies;
-    bool awaits_reply = false;
-    for (const auto& [vm, place] : this->reservations) {
-        awaits_reply = awaits_reply || !place.has_reply;
-        if (place.has_reply) {
-            replies.push_back({vm, place.is_offer, place.cost});
-        }
+    const time_point now = boot_clock::now();
+    const auto offered = cheapest_offer(this->replies(now));
+    if (!offered) {
+        return;
     }
-    const auto best = best_offer(replies);
-    if (!best) {
+    // A slot that is offered stands idle, so one offer at most is held, and not for long.
+    this->return_offers(offered->vm);
+    if (offered->cost <= small_cost) {
+        this->hand_over(offered->vm);
         return;
     }
-    const bool is_cheap = this->reservations[*best].cost <= small_cost;
-    const bool may_improve = awaits_reply || (!this->unasked_vms().empty() &&
-                                              this->reservations.size() < most_reservations);
-    if (is_cheap || !may_improve || boot_clock::now() > this->round_began + better_offer_limit) {
-        this->hand_over(*best);
+    if (now < this->hold_until && (this->awaits_reply() || this->ask_more(more_asked))) {
+        return;
     }
-    else if (!awaits_reply) {
-        this->ask_more(more_asked);
+    if (best_offer(this->replies(now))) {
+        this->hand_over(offered->vm);
+        return;
     }
+    this->return_offers(std::nullopt);
+    this->hold_until = {};
 }
 
 void dispatched_request::hand_over(const node_id& vm)
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -60,7 +60,10 @@
     struct reservation {
         bool has_reply = false;
         bool is_offer = false;
+        /// Expected loss when offered, expected wait otherwise.
         std::chrono::milliseconds cost{0};
+        /// When it was replied.
+        time_point at{};
     };
     struct active_run {
         node_id vm;
@@ -76,6 +79,10 @@
     /// VMs of the service that are neither asked nor have declined in this round.
     std::vector<placement_candidate> unasked_vms() const;
     void decide();
+    std::vector<placement_reply> replies(time_point now) const;
+    bool awaits_reply() const;
+    /// Gives the slots of offers back, except one.
+    void return_offers(const std::optional<node_id>& kept);
     void hand_over(const node_id& vm);
     void after_decline();
     void on_tick();
@@ -100,6 +107,8 @@
     std::map<node_id, reservation> reservations;
     /// VMs that declined or failed in this round.
     std::set<node_id> declined;
+    /// VMs whose offer was returned in this round because waiting elsewhere was better.
+    std::set<node_id> passed_over;
     std::map<run_id, active_run> runs;
     /// VMs whose upstream has had this request.
     std::set<node_id> tried;
@@ -112,6 +121,8 @@
     std::size_t rounds_started = 0;
     time_point round_began{};
     time_point next_ask{};
+    /// Until when an offer may be held while other VMs are asked.
+    time_point hold_until{};
     bool is_counted = false;
     bool was_overloaded = false;
     bool is_done = false;
--- a/test/correctness/test_dispatched_request.cpp
+++ b/test/correctness/test_dispatched_request.cpp
@@ -36,3 +36,34 @@
     REQUIRE(probe.answer.has_value());
     CHECK(probe.answer->status == 500);
 }
+
+// Guards against slots that are held for nothing: a caller's node that rather waits elsewhere used
+// to keep an upstream's offer until it lapsed after 250 ms.
+TEST_CASE("an offer is taken or returned within a round trip")
+{
+    request_probe probe{2};
+    probe.start("POST", false);
+    const auto asked = probe.receivers<reserve_message>();
+    REQUIRE(asked.size() == 2);
+    probe.wait_at(asked[0], 300ms);
+    probe.offer(asked[1], 900ms);
+    probe.pass(60ms);
+    CHECK(probe.receivers<run_message>().empty());
+    CHECK(probe.receivers<release_message>() == std::vector{asked[1]});
+}
+
+// Guards against a refusal while an upstream that fails some of its requests has a free slot.
+TEST_CASE("an upstream that was passed over is used when every other one declines")
+{
+    request_probe probe{2};
+    probe.start("POST", false);
+    const auto asked = probe.receivers<reserve_message>();
+    probe.wait_at(asked[0], 300ms);
+    probe.offer(asked[1], 900ms);
+    probe.pass(60ms);
+    probe.decline(asked[0], decline_reason::overloaded);
+    CHECK_FALSE(probe.answer.has_value());
+    probe.offer(asked[1], 900ms);
+    probe.pass(60ms);
+    CHECK(probe.receivers<run_message>() == std::vector{asked[1]});
+}
