Lengthen the pauses between calls to a store that refuses them

Change: commits and lease calls pause 250 ms after a failure and up to 1 s after several. Test: test_mesh.cpp, at most 8 commits in 4 s of outage (more than 30 before).

--- a/src/mesh/node_registration.cpp
+++ b/src/mesh/node_registration.cpp
@@ -20,7 +20,13 @@
 /// The lease is taken as ended this much earlier than by the store's count.
 constexpr milliseconds lease_margin{300};
 
-constexpr milliseconds retry_interval{250};
+/// Pauses after calls that failed. An entry that lapsed is to be back two seconds after the store's
+/// return at the latest.
+constexpr milliseconds first_retry_pause{250};
+constexpr milliseconds longest_retry_pause{1'000};
+
+/// After a claim the group is left alone until the watch has told who holds it.
+constexpr milliseconds claim_pause{250};
 
 constexpr milliseconds maintenance_interval{100};
 
@@ -39,7 +45,12 @@
 
 node_registration::node_registration(boost::asio::io_context& loop, shared_store& platform_store,
                                      fleet_keys names, callbacks functions)
-    : store(platform_store), keys(std::move(names)), handlers(std::move(functions)), timer(loop)
+    : store(platform_store),
+      keys(std::move(names)),
+      handlers(std::move(functions)),
+      timer(loop),
+      commit_retry(first_retry_pause, longest_retry_pause),
+      lease_retry(first_retry_pause, longest_retry_pause)
 {
 }
 
@@ -85,9 +96,11 @@
 void node_registration::on_grant(std::optional<lease_grant> granted, time_point asked)
 {
     if (!granted) {
-        this->next_keep = boot_clock::now() + retry_interval;
+        this->lease_retry.note_failure(boot_clock::now());
+        this->next_keep = this->lease_retry.next();
         return;
     }
+    this->lease_retry.note_success();
     this->lease = granted->lease;
     this->lease_time = granted->time_to_live;
     this->lease_until = asked + granted->time_to_live - lease_margin;
@@ -117,9 +130,11 @@
         return;
     }
     if (outcome == lease_outcome::unknown) {
-        this->next_keep = boot_clock::now() + retry_interval;
+        this->lease_retry.note_failure(boot_clock::now());
+        this->next_keep = this->lease_retry.next();
         return;
     }
+    this->lease_retry.note_success();
     this->lease_until = asked + this->lease_time - lease_margin;
     this->next_keep = asked + this->lease_time / renewals_per_lease;
 }
@@ -156,6 +171,7 @@
     request.writes.push_back({this->keys.vm(written.node), written.to_text(), this->lease});
     this->store.commit(request, [this, written](commit_outcome outcome) {
         this->is_writing_entry = false;
+        this->note_commit(outcome);
         if (outcome == commit_outcome::committed) {
             this->is_entry_written = written == this->self;
         }
@@ -166,6 +182,16 @@
     });
 }
 
+void node_registration::note_commit(commit_outcome outcome)
+{
+    if (outcome == commit_outcome::unknown) {
+        this->commit_retry.note_failure(boot_clock::now());
+    }
+    else {
+        this->commit_retry.note_success();
+    }
+}
+
 void node_registration::on_entry_lost()
 {
     if (!this->is_stopping) {
@@ -243,8 +269,8 @@
     request.writes.push_back({this->keys.group(group), this->group_value(), used});
     this->store.commit(request, [this, group, used](commit_outcome outcome) {
         this->claiming.erase(group);
-        // The watch tells who holds the group; until then it is not claimed again.
-        this->vacant_since[group] = boot_clock::now() + retry_interval;
+        this->note_commit(outcome);
+        this->vacant_since[group] = boot_clock::now() + claim_pause;
         if (outcome == commit_outcome::committed && used == this->lease && !this->is_stopping) {
             this->keepers[group] = this->self.node;
             this->held.insert(group);
@@ -275,6 +301,9 @@
             this->keep();
         }
     }
+    if (!this->commit_retry.is_due(now)) {
+        return;
+    }
     if (!this->is_entry_written) {
         this->write_entry();
     }
--- a/src/mesh/node_registration.hpp
+++ b/src/mesh/node_registration.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "core/retry_backoff.hpp"
 #include "core/ids.hpp"
 #include "mesh/quota_desk.hpp"
 #include "mesh/shared_store.hpp"
@@ -68,6 +69,8 @@
     void lose_lease();
     bool is_lease_valid(time_point now) const;
     void write_entry();
+    /// Counts the reply of a commit for the pause before the next one.
+    void note_commit(commit_outcome outcome);
     void claim_groups(time_point now);
     void claim(std::size_t group, store_revision expected);
     std::size_t claim_rank(std::size_t group) const;
@@ -85,6 +88,8 @@
     time_point next_keep{};
     time_point first_write_at{};
     std::chrono::milliseconds lease_time{0};
+    retry_backoff commit_retry;
+    retry_backoff lease_retry;
     std::array<std::optional<node_id>, quota_group_count> keepers;
     std::array<store_revision, quota_group_count> group_revisions{};
     std::array<time_point, quota_group_count> vacant_since{};
--- a/test/error/test_mesh.cpp
+++ b/test/error/test_mesh.cpp
@@ -114,6 +114,22 @@
     CHECK(fleet.run_until([&] { return fleet.ask(0, "GET").answer.status == 200; }, 4s));
 }
 
+// Guards against a storm of calls at a store that refuses them: an entry that could not be written
+// used to be tried ten times a second.
+TEST_CASE("calls to a store that refuses them become rare, and the entry is back after its return")
+{
+    mesh_fleet fleet{1};
+    fleet.store.set_down(true);
+    const std::size_t before = fleet.store.commits();
+    fleet.check_in(0, "draining", 2);
+    fleet.check_in(0, "ready", 3);
+    fleet.run_until([] { return false; }, 4s);
+    CHECK(fleet.store.commits() - before <= 8);
+    fleet.store.set_down(false);
+    const std::size_t refused = fleet.store.commits();
+    CHECK(fleet.run_until([&] { return fleet.store.commits() > refused; }, 2s));
+}
+
 // Guards against requests that are cut by a planned stop.
 TEST_CASE("a stopping node lets its callers' requests end and is not ready meanwhile")
 {
--- a/test/support/memory_shared_store.hpp
+++ b/test/support/memory_shared_store.hpp
@@ -21,6 +21,9 @@
     /// While it is down every call fails.
     void set_down(bool down) { this->is_down = down; }
 
+    /// Commits that were asked for, the refused ones included.
+    std::size_t commits() const { return this->commit_calls; }
+
     void put(const std::string& key, const std::string& value, dragonflyroad::store_lease lease = 0)
     {
         this->items[key] = {{key, value, ++this->revision, false}, lease};
@@ -79,6 +82,7 @@
     void commit(const dragonflyroad::commit_request& request,
                 std::function<void(dragonflyroad::commit_outcome)> done) override
     {
+        ++this->commit_calls;
         this->later([this, request, done = std::move(done)] {
             if (this->is_down) {
                 done(dragonflyroad::commit_outcome::unknown);
@@ -148,5 +152,6 @@
     std::map<std::string, stored_row> items;
     dragonflyroad::store_revision revision = 1;
     dragonflyroad::store_lease last_lease = 0;
+    std::size_t commit_calls = 0;
     bool is_down = false;
 };
