Compare offers with the wait as it was told

Change: the wait told does not shrink with time; a failure weighs one objective again instead of three. Test: test_dispatched_request.cpp, fails without the change.

--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -50,7 +50,7 @@
 
 /// Objectives of waiting time that a failure is worth. A request that may not run again is lost for
 /// good, while one that waits within its objective loses nothing.
-constexpr int objectives_per_failure = 3;
+constexpr int objectives_per_failure = 1;
 
 /// A call that fails takes its caller's run with it, which is several times as long.
 constexpr int objectives_per_call = 2;
@@ -217,7 +217,7 @@
         return;
     }
     const time_point now = boot_clock::now();
-    found->second = {true, message.is_offer, message.cost, now};
+    found->second = {true, message.is_offer, message.cost};
     if (message.is_offer && this->hold_until == time_point{}) {
         this->hold_until = now + hold_limit;
     }
@@ -262,14 +262,12 @@
                            ran::no, "every upstream declined");
 }
 
-std::vector<placement_reply> dispatched_request::replies(time_point now) const
+std::vector<placement_reply> dispatched_request::replies() const
 {
     std::vector<placement_reply> given;
     for (const auto& [vm, place] : this->reservations) {
         if (place.has_reply) {
-            const milliseconds waited = place.is_offer ? milliseconds{0}
-                                                       : milliseconds_between(place.at, now);
-            given.push_back({vm, place.is_offer, std::max(place.cost - waited, milliseconds{0})});
+            given.push_back({vm, place.is_offer, place.cost});
         }
     }
     return given;
@@ -298,7 +296,7 @@
         return;
     }
     const time_point now = boot_clock::now();
-    const auto offered = cheapest_offer(this->replies(now));
+    const auto offered = cheapest_offer(this->replies());
     if (!offered) {
         return;
     }
@@ -311,7 +309,7 @@
     if (now < this->hold_until && (this->awaits_reply() || this->ask_more(more_asked))) {
         return;
     }
-    if (best_offer(this->replies(now))) {
+    if (best_offer(this->replies())) {
         this->hand_over(offered->vm);
         return;
     }
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -60,10 +60,9 @@
     struct reservation {
         bool has_reply = false;
         bool is_offer = false;
-        /// Expected loss when offered, expected wait otherwise.
+        /// Expected loss when offered, expected wait otherwise. The wait does not shrink with the
+        /// time that has passed: a queue that was slower than expected is no closer to its end.
         std::chrono::milliseconds cost{0};
-        /// When it was replied.
-        time_point at{};
     };
     struct active_run {
         node_id vm;
@@ -79,7 +78,7 @@
     /// VMs of the service that are neither asked nor have declined in this round.
     std::vector<placement_candidate> unasked_vms() const;
     void decide();
-    std::vector<placement_reply> replies(time_point now) const;
+    std::vector<placement_reply> replies() const;
     bool awaits_reply() const;
     /// Gives the slots of offers back, except one.
     void return_offers(const std::optional<node_id>& kept);
--- a/test/correctness/test_dispatched_request.cpp
+++ b/test/correctness/test_dispatched_request.cpp
@@ -67,3 +67,18 @@
     probe.pass(60ms);
     CHECK(probe.receivers<run_message>() == std::vector{asked[1]});
 }
+
+// Guards against requests that pass every offer over because the wait that they were told has
+// passed: a queue that is slower than expected is no better for it.
+TEST_CASE("an offer is compared with the wait as it was told, however long the request has waited")
+{
+    request_probe probe{2};
+    probe.start("POST", false);
+    const auto asked = probe.receivers<reserve_message>();
+    probe.wait_at(asked[0], 50ms);
+    probe.wait_at(asked[1], 80ms);
+    probe.pass(120ms);
+    probe.offer(asked[1], 45ms);
+    probe.pass(60ms);
+    CHECK(probe.receivers<run_message>() == std::vector{asked[1]});
+}
