Do not hold a run against an upstream that only ran out of time

Change: a run that ends at the deadline it was given, before twice its expected time, is no evidence.

--- a/src/dispatch/upstream_health.cpp
+++ b/src/dispatch/upstream_health.cpp
@@ -29,6 +29,13 @@
 /// Slowdowns below this are within the spread of run times.
 constexpr double usual_slowdown = 1.7;
 
+/// Runs that reach their deadline within this many times their expected time are usual ones: run
+/// times spread by about their mean.
+constexpr int usual_spread = 2;
+
+/// An upstream ends a run a little before the deadline that it was given, by the way back.
+constexpr std::chrono::milliseconds deadline_margin{20};
+
 double fade(double value, time_point since, time_point now, std::chrono::milliseconds half_life)
 {
     const std::chrono::duration<double> age = now - since;
@@ -38,6 +45,12 @@
 
 } // namespace
 
+bool was_cut_short(std::chrono::milliseconds elapsed, std::chrono::milliseconds allowed,
+                   std::chrono::milliseconds expected_run)
+{
+    return elapsed + deadline_margin >= allowed && elapsed < usual_spread * expected_run;
+}
+
 void upstream_health::note_success(time_point now, std::chrono::milliseconds elapsed,
                                    std::chrono::milliseconds expected)
 {
--- a/src/dispatch/upstream_health.hpp
+++ b/src/dispatch/upstream_health.hpp
@@ -6,6 +6,11 @@
 
 namespace dragonflyroad {
 
+/// Whether a run that ended without a good answer only ran out of time: it was allowed less than
+/// such requests often take, which says nothing about the upstream.
+bool was_cut_short(std::chrono::milliseconds elapsed, std::chrono::milliseconds allowed,
+                   std::chrono::milliseconds expected_run);
+
 /// What the node beside an upstream has seen of its work, against gray failure: an upstream that
 /// fails or stalls requests while its status check is good. Every request of the upstream passes
 /// this node, so a few outcomes are enough, and no status check is needed. Nothing is ejected: the
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -309,6 +309,7 @@
 {
     entry->state = stage::running;
     entry->started_at = boot_clock::now();
+    entry->deadline = entry->started_at + message.time_left;
     if (entry->terms.is_repeat) {
         this->repeats.spend(this->service_size(), entry->started_at);
     }
@@ -341,7 +342,7 @@
     exchange_request exchange;
     exchange.bytes = encode_request(head, message.body);
     exchange.method = head.method;
-    exchange.deadline = entry->started_at + message.time_left + deadline_grace;
+    exchange.deadline = entry->deadline + deadline_grace;
     exchange.max_idle = entry->terms.is_repeatable ? safe_idle_limit : unsafe_idle_limit;
     const std::string name = this->names.request_id;
     const std::string expected = entry->request_id;
@@ -424,6 +425,11 @@
     const time_point now = boot_clock::now();
     const auto* answer = std::get_if<answer_message>(&outcome);
     if (answer == nullptr || answer->status >= 500) {
+        if (was_cut_short(milliseconds_between(entry->started_at, now),
+                          milliseconds_between(entry->started_at, entry->deadline),
+                          entry->terms.expected_run)) {
+            return;
+        }
         if (answer == nullptr || now > this->call_failed_at + call_failure_time) {
             this->health.note_failure(now);
         }
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -74,6 +74,8 @@
         stage state = stage::waiting;
         time_point offered_until{};
         time_point started_at{};
+        /// When the upstream was told to give up.
+        time_point deadline{};
         time_point forget_at{};
         bool is_cancelled = false;
         std::string request_id;
