Learn how long idle connections to an upstream can be trusted

Cause: upstreams may drop idle connections without notice; unsafe requests were sent on connections idle for up to 1.5 s and were lost when reset. Change: after a reset at once on a kept connection, those idle for half as long or more are not used for 20 s. Test: test_dispatch.cpp.

--- a/src/mesh/http_client_pool.cpp
+++ b/src/mesh/http_client_pool.cpp
@@ -19,6 +19,10 @@
 /// Answers of earlier requests that are passed over before a connection is given up.
 constexpr int most_passed_over = 3;
 
+/// A reset within this time of a request on a kept connection tells that the peer had dropped the
+/// connection: a peer on the same VM answers the first byte within a few milliseconds.
+constexpr std::chrono::milliseconds dropped_reset_limit{50};
+
 /// Part of the idle time that a peer announces which is used, since its clock started earlier.
 constexpr double used_idle_share = 0.8;
 
@@ -76,7 +80,8 @@
         return nullptr;
     }
     auto connection = this->idle.back();
-    if (now > connection->idle_since + max_idle || now > connection->use_until) {
+    if (now > connection->idle_since + max_idle || now > connection->use_until ||
+        !this->patience.may_reuse(connection->idle_since, now)) {
         return nullptr;
     }
     this->idle.pop_back();
@@ -117,6 +122,7 @@
     this->decoder.emplace(this->request.method, this->pool->body_limit);
     this->is_written = false;
     this->passed_over = 0;
+    this->run_since = boot_clock::now();
     this->arm_timer(this->request.deadline);
     if (this->is_connected) {
         this->write();
@@ -237,6 +243,12 @@
     this->finish(exchange_end::answered, "");
 }
 
+bool client_connection::was_dropped(exchange_end end) const
+{
+    return end == exchange_end::broken && this->idle_since != time_point{} &&
+           this->buffer.empty() && boot_clock::now() < this->run_since + dropped_reset_limit;
+}
+
 void client_connection::finish(exchange_end end, std::string detail)
 {
     const auto self = this->shared_from_this();
@@ -257,6 +269,9 @@
         this->pool->put_back(self);
     }
     else {
+        if (this->was_dropped(end)) {
+            this->pool->patience.note_dropped(this->idle_since, this->run_since);
+        }
         this->close();
     }
     function({end, std::move(this->answer), std::move(detail)});
--- a/src/mesh/http_client_pool.hpp
+++ b/src/mesh/http_client_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "dispatch/idle_patience.hpp"
 #include "mesh/http_codec.hpp"
 
 #include <array>
@@ -82,6 +83,7 @@
     std::string address;
     std::chrono::milliseconds idle_limit{8'000};
     std::list<std::shared_ptr<client_connection>> idle;
+    idle_patience patience;
     std::uint64_t opened = 0;
 };
 
@@ -103,6 +105,8 @@
     void on_read(const boost::system::error_code& error, std::size_t size);
     void decode();
     void finish(exchange_end end, std::string detail);
+    /// Whether a request ended because the peer had dropped this kept connection before.
+    bool was_dropped(exchange_end end) const;
     void arm_timer(time_point at);
     void close();
 
@@ -116,7 +120,9 @@
     http_client_pool::done_function done;
     std::optional<answer_decoder> decoder;
     http_answer answer;
+    /// When the connection was last put back; zero before that.
     time_point idle_since{};
+    time_point run_since{};
     time_point use_until{};
     bool is_connected = false;
     bool is_reading = false;
--- a/test/correctness/test_dispatch.cpp
+++ b/test/correctness/test_dispatch.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/follow_choice.hpp"
 #include "dispatch/organisation_quota.hpp"
 #include "dispatch/placement.hpp"
+#include "dispatch/idle_patience.hpp"
 #include "dispatch/repeat_budget.hpp"
 #include "dispatch/upstream_health.hpp"
 #include "dispatch/upstream_reports.hpp"
@@ -184,6 +185,30 @@
     CHECK(static_cast<double>(repeats) <= 0.2 * upstreams * requests + 60);
 }
 
+// Guards against suspicion of sound upstreams on routes with a short timeout: their runs end at the
+// deadline whatever the upstream does.
+TEST_CASE("a run that was allowed less than its usual time says nothing about the upstream")
+{
+    CHECK(was_cut_short(379ms, 380ms, 870ms));
+    CHECK(was_cut_short(365ms, 380ms, 870ms));
+    CHECK_FALSE(was_cut_short(2ms, 380ms, 870ms));
+    CHECK_FALSE(was_cut_short(4000ms, 4000ms, 870ms));
+}
+
+// Guards against requests that are lost on connections which the upstream has dropped: after one
+// loss connections that rested as long are not used for a while.
+TEST_CASE("a dropped connection shortens the idle time that is trusted")
+{
+    idle_patience patience;
+    CHECK(patience.may_reuse(start, start + 1400ms));
+    patience.note_dropped(start, start + 800ms);
+    CHECK_FALSE(patience.may_reuse(start + 500ms, start + 1000ms));
+    CHECK(patience.may_reuse(start + 700ms, start + 1000ms));
+    patience.note_dropped(start + 1000ms, start + 1350ms);
+    CHECK_FALSE(patience.may_reuse(start + 1800ms, start + 2000ms));
+    CHECK(patience.may_reuse(start + 59s, start + 60s));
+}
+
 // Guards against repeats that are refused while the service's budget is nearly untouched: failures
 // come in bursts, and a caller's node sends few requests to each service.
 TEST_CASE("an upstream that was sent a few dozen requests allows several repeats in a row")
