--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -19,6 +19,10 @@
 constexpr double random_cost = 6;
 constexpr double own_vm_gain = 1;
 
+/// Bytes that the link of a small VM (11 Mbit/s) carries in a millisecond: an answer from another
+/// data centre costs the time that it holds such a link.
+constexpr double bytes_per_millisecond = 1'375;
+
 } // namespace
 
 void placement::note_cost(const node_id& vm, std::chrono::milliseconds cost, time_point now)
@@ -44,11 +48,11 @@
     return found != this->memories.end() && now < found->second.unreachable_until;
 }
 
-double placement::score(const placement_candidate& candidate, random_engine& random,
-                        time_point now) const
+double placement::score(const placement_candidate& candidate, double answer_bytes,
+                        random_engine& random, time_point now) const
 {
     double cost = uniform(random) * random_cost;
-    cost += candidate.is_same_centre ? 0 : other_centre_cost;
+    cost += candidate.is_same_centre ? 0 : other_centre_cost + answer_bytes / bytes_per_millisecond;
     cost -= candidate.is_own ? own_vm_gain : 0;
     const auto found = this->memories.find(candidate.vm);
     if (found == this->memories.end()) {
@@ -62,13 +66,13 @@
 }
 
 std::vector<node_id> placement::choose(std::vector<placement_candidate> candidates,
-                                       std::size_t count, random_engine& random,
-                                       time_point now) const
+                                       std::size_t count, double answer_bytes,
+                                       random_engine& random, time_point now) const
 {
     std::vector<std::pair<double, node_id>> scored;
     scored.reserve(candidates.size());
     for (placement_candidate& candidate : candidates) {
-        const double cost = this->score(candidate, random, now);
+        const double cost = this->score(candidate, answer_bytes, random, now);
         scored.emplace_back(cost, std::move(candidate.vm));
     }
     const std::size_t kept = std::min(count, scored.size());
--- a/src/dispatch/placement.hpp
+++ b/src/dispatch/placement.hpp
@@ -39,12 +39,14 @@
 
     bool is_unreachable(const node_id& vm, time_point now) const;
 
-    /// The best `count` candidates, best first.
+    /// The best `count` candidates, best first. `answer_bytes` is the expected size of the answer,
+    /// which is to stay in the data centre when it is large.
     std::vector<node_id> choose(std::vector<placement_candidate> candidates, std::size_t count,
-                                random_engine& random, time_point now) const;
+                                double answer_bytes, random_engine& random, time_point now) const;
 
 private:
-    double score(const placement_candidate& candidate, random_engine& random, time_point now) const;
+    double score(const placement_candidate& candidate, double answer_bytes, random_engine& random,
+                 time_point now) const;
 
     std::map<node_id, vm_memory> memories;
 };
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -139,7 +139,7 @@
 {
     this->end_round();
     this->round = this->shared.register_round(this->shared_from_this());
-    this->round_began = boot_clock::now();
+    this->heard_at = boot_clock::now();
     ++this->rounds_started;
     this->was_overloaded = false;
     this->declined = this->tried;
@@ -185,8 +185,10 @@
     const time_point now = boot_clock::now();
     const std::size_t room =
         most_reservations - std::min(most_reservations, this->reservations.size());
+    const double answer_bytes =
+        this->shared.times.answer_bytes(this->accepted.service, this->accepted.route.name);
     const auto chosen = this->shared.places.choose(this->unasked_vms(), std::min(count, room),
-                                                   this->shared.random, now);
+                                                   answer_bytes, this->shared.random, now);
     reserve_message message;
     message.id = this->round;
     message.service = this->accepted.service;
@@ -217,6 +219,7 @@
         return;
     }
     const time_point now = boot_clock::now();
+    this->heard_at = now;
     found->second = {true, message.is_offer, message.cost};
     if (message.is_offer && this->hold_until == time_point{}) {
         this->hold_until = now + hold_limit;
@@ -232,11 +235,16 @@
     if (this->is_done || message.id != this->round) {
         return;
     }
+    this->heard_at = boot_clock::now();
     this->reservations.erase(from);
     this->declined.insert(from);
     if (message.reason == decline_reason::overloaded) {
         this->was_overloaded = true;
-        this->shortest_wait = std::min(this->shortest_wait.value_or(message.wait), message.wait);
+        // A place that expired tells no wait.
+        if (message.wait > milliseconds{0}) {
+            this->shortest_wait =
+                std::min(this->shortest_wait.value_or(message.wait), message.wait);
+        }
     }
     if (message.reason == decline_reason::repeat_budget &&
         ++this->repeats_declined >= most_repeats_declined) {
@@ -359,7 +367,8 @@
     this->was_sent = true;
     this->shared.end_round(message.id);
     if (message.status < 500) {
-        this->shared.times.note(this->accepted.service, this->accepted.route.name, message.elapsed);
+        this->shared.times.note(this->accepted.service, this->accepted.route.name, message.elapsed,
+                                message.body.size());
         this->deliver(message);
         return;
     }
@@ -513,7 +522,7 @@
     if (this->round != 0) {
         const bool has_reply = std::ranges::any_of(
             this->reservations, [](const auto& item) { return item.second.has_reply; });
-        if (!has_reply && now > this->round_began + no_reply_limit) {
+        if (!has_reply && now > this->heard_at + no_reply_limit) {
             this->repeat_or_refuse(refusal_reason::no_healthy_upstream, ran::no,
                                    "no VM of the service replies");
             return;
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -118,7 +118,8 @@
     bool was_sent = false;
     std::size_t repeats_declined = 0;
     std::size_t rounds_started = 0;
-    time_point round_began{};
+    /// When the round began or a VM last replied in it.
+    time_point heard_at{};
     time_point next_ask{};
     /// Until when an offer may be held while other VMs are asked.
     time_point hold_until{};
--- a/src/mesh/run_times.cpp
+++ b/src/mesh/run_times.cpp
@@ -12,15 +12,17 @@
 } // namespace
 
 void run_times::note(const service_name& service, const route_name& route,
-                     std::chrono::milliseconds elapsed)
+                     std::chrono::milliseconds elapsed, std::size_t answer_bytes)
 {
     if (this->means.size() >= most_means) {
         this->means.clear();
     }
-    const auto seen = static_cast<double>(elapsed.count());
+    const mean_values seen{static_cast<double>(elapsed.count()), static_cast<double>(answer_bytes)};
     const auto [place, is_new] = this->means.try_emplace({service, route}, seen);
     if (!is_new) {
-        place->second += (seen - place->second) * run_weight;
+        mean_values& mean = place->second;
+        mean.run_milliseconds += (seen.run_milliseconds - mean.run_milliseconds) * run_weight;
+        mean.answer_bytes += (seen.answer_bytes - mean.answer_bytes) * run_weight;
     }
 }
 
@@ -28,9 +30,15 @@
                                               std::chrono::milliseconds fallback) const
 {
     const auto found = this->means.find({service, route});
-    return found == this->means.end()
-               ? fallback
-               : std::chrono::milliseconds{static_cast<std::int64_t>(found->second)};
+    return found == this->means.end() ? fallback
+                                      : std::chrono::milliseconds{static_cast<std::int64_t>(
+                                            found->second.run_milliseconds)};
+}
+
+double run_times::answer_bytes(const service_name& service, const route_name& route) const
+{
+    const auto found = this->means.find({service, route});
+    return found == this->means.end() ? 0 : found->second.answer_bytes;
 }
 
 } // namespace dragonflyroad
--- a/src/mesh/run_times.hpp
+++ b/src/mesh/run_times.hpp
@@ -8,19 +8,27 @@
 
 namespace dragonflyroad {
 
-/// Mean run time of each route's requests at each service, as this node's callers saw it on all
-/// upstreams together.
+/// Mean run time and answer size of each route's requests at each service, as this node's callers
+/// saw them on all upstreams together.
 class run_times {
 public:
     void note(const service_name& service, const route_name& route,
-              std::chrono::milliseconds elapsed);
+              std::chrono::milliseconds elapsed, std::size_t answer_bytes);
 
     /// The mean, or `fallback` before the first run.
     std::chrono::milliseconds expected(const service_name& service, const route_name& route,
                                        std::chrono::milliseconds fallback) const;
 
+    /// Mean size of an answer, 0 before the first.
+    double answer_bytes(const service_name& service, const route_name& route) const;
+
 private:
-    std::map<std::pair<service_name, route_name>, double> means;
+    struct mean_values {
+        double run_milliseconds = 0;
+        double answer_bytes = 0;
+    };
+
+    std::map<std::pair<service_name, route_name>, mean_values> means;
 };
 
 } // namespace dragonflyroad
--- a/test/correctness/test_dispatched_request.cpp
+++ b/test/correctness/test_dispatched_request.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+#include <vector>
+
 using namespace dragonflyroad;
 using namespace std::chrono_literals;
 
@@ -82,3 +85,31 @@
     probe.pass(60ms);
     CHECK(probe.receivers<run_message>() == std::vector{asked[1]});
 }
+
+// Guards against a refusal "no VM replies" of a request that waited at VMs which declined it later:
+// the VMs that are asked then need a round trip to reply.
+TEST_CASE("VMs that are asked late get the time to reply")
+{
+    request_probe probe{10};
+    probe.start("POST", false);
+    std::set<node_id> waiting;
+    for (int round = 0; round < 6; ++round) {
+        for (const auto& vm : probe.receivers<reserve_message>()) {
+            if (waiting.insert(vm).second) {
+                probe.wait_at(vm, 900ms);
+            }
+        }
+        probe.pass(30ms);
+    }
+    REQUIRE(waiting.size() == 8);
+    probe.pass(600ms);
+    for (const auto& vm : waiting) {
+        probe.decline(vm, decline_reason::overloaded);
+    }
+    probe.pass(40ms);
+    CHECK_FALSE(probe.answer.has_value());
+    const auto late = probe.receivers<reserve_message>().back();
+    CHECK_FALSE(waiting.contains(late));
+    probe.offer(late, 0ms);
+    CHECK(probe.receivers<run_message>() == std::vector{late});
+}
