--- a/src/dispatch/repeat_budget.cpp
+++ b/src/dispatch/repeat_budget.cpp
@@ -35,7 +35,8 @@
 bool repeat_budget::has_room(std::size_t upstreams, time_point now)
 {
     this->forget_before(now - this->limit.window);
-    const double slack = this->limit.slack / static_cast<double>(std::max<std::size_t>(upstreams, 1));
+    const double slack =
+        this->limit.slack / static_cast<double>(std::max<std::size_t>(upstreams, 1));
     const double allowed =
         used_part * (this->limit.ratio * static_cast<double>(this->firsts.size()) + slack);
     return static_cast<double>(this->repeats.size()) + 1 <= allowed;
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -174,8 +174,8 @@
     auto candidates = this->shared.directory.candidates(this->accepted.service, this->shared.self,
                                                         this->shared.centre);
     std::erase_if(candidates, [&](const placement_candidate& candidate) {
-        return this->reservations.contains(candidate.vm) ||
-               this->declined.contains(candidate.vm) || this->passed_over.contains(candidate.vm);
+        return this->reservations.contains(candidate.vm) || this->declined.contains(candidate.vm) ||
+               this->passed_over.contains(candidate.vm);
     });
     return candidates;
 }
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -33,10 +33,10 @@
     bool needs_quota = false;
 };
 
-/// One request on its way to an upstream. Once its organisation's quota admits it, it is reserved at
-/// a few VMs at a time and handed over to the first good offer; what fails before that is taken elsewhere without risk. A repeatable
-/// request is sent once more after a failure or when it takes unusually long, within the budget for
-/// repeats. Of several runs the first good answer counts.
+/// One request on its way to an upstream. Once its organisation's quota admits it, it is reserved
+/// at a few VMs at a time and handed over to the first good offer; what fails before that is taken
+/// elsewhere without risk. A repeatable request is sent once more after a failure or when it takes
+/// unusually long, within the budget for repeats. Of several runs the first good answer counts.
 class dispatched_request : public served_request,
                            public std::enable_shared_from_this<dispatched_request> {
 public:
--- a/src/mesh/node_registration.hpp
+++ b/src/mesh/node_registration.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/clock.hpp"
-#include "core/retry_backoff.hpp"
 #include "core/ids.hpp"
+#include "core/retry_backoff.hpp"
 #include "mesh/quota_desk.hpp"
 #include "mesh/shared_store.hpp"
 #include "mesh/vm_directory.hpp"
--- a/src/mesh/vm_directory.cpp
+++ b/src/mesh/vm_directory.cpp
@@ -1,7 +1,7 @@
 #include "mesh/vm_directory.hpp"
 
-#include <algorithm>
 #include "core/failure.hpp"
+#include <algorithm>
 
 #include <nlohmann/json.hpp>
 
--- a/test/correctness/test_dispatch.cpp
+++ b/test/correctness/test_dispatch.cpp
@@ -1,14 +1,14 @@
 #include "dispatch/currency_proof.hpp"
 #include "dispatch/follow_choice.hpp"
+#include "dispatch/idle_patience.hpp"
 #include "dispatch/organisation_quota.hpp"
 #include "dispatch/placement.hpp"
-#include "dispatch/idle_patience.hpp"
 #include "dispatch/repeat_budget.hpp"
 #include "dispatch/upstream_health.hpp"
 #include "dispatch/upstream_reports.hpp"
 
-#include <doctest/doctest.h>
 #include <deque>
+#include <doctest/doctest.h>
 
 using namespace dragonflyroad;
 using namespace std::chrono_literals;
--- a/test/support/request_probe.hpp
+++ b/test/support/request_probe.hpp
@@ -51,7 +51,6 @@
     std::optional<dragonflyroad::http_answer> answer;
 
 private:
-
     boost::asio::io_context context;
     dragonflyroad::header_names names;
     dragonflyroad::dispatcher shared;
