--- a/src/dispatch/upstream_health.hpp
+++ b/src/dispatch/upstream_health.hpp
@@ -12,8 +12,8 @@
                    std::chrono::milliseconds expected_run);
 
 /// Cost of an upstream that has had no request since `idle_since`, given its expected cost. What is
-/// not renewed by outcomes says less and less: after a while one request is sent there as a trial,
-/// also when the wait elsewhere is short.
+/// not renewed by outcomes says less and less: after a while one repeatable request is sent there
+/// as a trial, also when the wait elsewhere is short.
 std::chrono::milliseconds cost_when_idle(std::chrono::milliseconds expected, time_point idle_since,
                                          time_point now);
 
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -478,7 +478,8 @@
 {
     auto cost = this->health.expected_cost(now, terms.expected_run, terms.failure_cost,
                                            this->oldest_overrun(now));
-    if (this->in_use == 0) {
+    // The trial is left to work that can be sent elsewhere when it fails.
+    if (this->in_use == 0 && terms.is_repeatable) {
         cost = cost_when_idle(cost, this->last_run_at, now);
     }
     const auto& current = this->reports.current();
