--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -130,6 +130,7 @@
     std::size_t in_use = 0;
     time_point refused_until{};
     time_point call_failed_at{};
+    /// When a request was last sent to the upstream.
     time_point last_run_at{};
     std::chrono::milliseconds typical_run{500};
     bool is_stopping = false;
--- a/test/correctness/test_mesh_formats.cpp
+++ b/test/correctness/test_mesh_formats.cpp
@@ -67,6 +67,25 @@
     CHECK(message.body == sent.body);
 }
 
+// Guards against repeats that lose their mark on the way and escape the budget.
+TEST_CASE("a reservation keeps its mark as a repeat, and a decline its reason")
+{
+    reserve_message sent;
+    sent.id = 9;
+    sent.is_repeat = true;
+    sent.start_within = 700ms;
+    const auto received = decode_link_message(encode_link_message(sent), "peer");
+    REQUIRE(received.has_value());
+    const auto& message = std::get<reserve_message>(*received);
+    CHECK(message.is_repeat);
+    CHECK_FALSE(message.is_repeatable);
+    CHECK(message.start_within == 700ms);
+    const decline_message refused{9, decline_reason::repeat_budget, 0ms};
+    const auto answer = decode_link_message(encode_link_message(refused), "peer");
+    REQUIRE(answer.has_value());
+    CHECK(std::get<decline_message>(*answer).reason == decline_reason::repeat_budget);
+}
+
 // Guards against a peer whose bytes end the process.
 TEST_CASE("bytes that are no message are refused with a reason")
 {
