--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -303,8 +303,8 @@
     if (this->is_done || this->round == 0) {
         return;
     }
-    const time_point now = boot_clock::now();
-    const auto offered = cheapest_offer(this->replies());
+    const auto given = this->replies();
+    const auto offered = cheapest_offer(given);
     if (!offered) {
         return;
     }
@@ -314,10 +314,11 @@
         this->hand_over(offered->vm);
         return;
     }
-    if (now < this->hold_until && (this->awaits_reply() || this->ask_more(more_asked))) {
+    if (boot_clock::now() < this->hold_until &&
+        (this->awaits_reply() || this->ask_more(more_asked))) {
         return;
     }
-    if (best_offer(this->replies())) {
+    if (best_offer(given)) {
         this->hand_over(offered->vm);
         return;
     }
@@ -520,9 +521,7 @@
         return;
     }
     if (this->round != 0) {
-        const bool has_reply = std::ranges::any_of(
-            this->reservations, [](const auto& item) { return item.second.has_reply; });
-        if (!has_reply && now > this->heard_at + no_reply_limit) {
+        if (now > this->heard_at + no_reply_limit && this->replies().empty()) {
             this->repeat_or_refuse(refusal_reason::no_healthy_upstream, ran::no,
                                    "no VM of the service replies");
             return;
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -205,7 +205,7 @@
         this->reply_to(from, decline_message{message.id, reason, wait});
         return;
     }
-    if (message.is_repeat && !this->repeats.has_room(this->service_size(), now)) {
+    if (this->lacks_repeat_budget(message, now)) {
         this->reply_to(from, decline_message{message.id, decline_reason::repeat_budget, wait});
         return;
     }
@@ -264,17 +264,26 @@
         }
         const run_pointer entry = found->second;
         // The budget may have been used up while the repeat waited.
-        if (entry->terms.is_repeat && !this->repeats.has_room(this->service_size(), now)) {
-            this->tickets.erase(found);
-            this->runs.erase(entry->key);
-            this->reply_to(entry->key.first,
-                           decline_message{entry->key.second, decline_reason::repeat_budget, {}});
+        if (this->lacks_repeat_budget(entry->terms, now)) {
+            this->decline(entry, decline_reason::repeat_budget);
             continue;
         }
         this->offer(entry);
     }
 }
 
+void upstream_runner::decline(const run_pointer& entry, decline_reason reason)
+{
+    this->tickets.erase(entry->ticket);
+    this->runs.erase(entry->key);
+    this->reply_to(entry->key.first, decline_message{entry->key.second, reason, {}});
+}
+
+bool upstream_runner::lacks_repeat_budget(const reserve_message& terms, time_point now)
+{
+    return terms.is_repeat && !this->repeats.has_room(this->service_size(), now);
+}
+
 void upstream_runner::release(const run_key& key)
 {
     const auto found = this->runs.find(key);
@@ -517,10 +526,7 @@
         if (found == this->tickets.end()) {
             continue;
         }
-        const run_key key = found->second->key;
-        this->tickets.erase(found);
-        this->runs.erase(key);
-        this->reply_to(key.first, decline_message{key.second, decline_reason::overloaded, {}});
+        this->decline(run_pointer{found->second}, decline_reason::overloaded);
     }
     const bool takes = this->takes_work(now);
     for (const auto& [key, entry] : std::map{this->runs}) {
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -96,6 +96,9 @@
     void cancel(const run_key& key);
     void offer(const run_pointer& entry);
     void offer_next();
+    /// Ends a reservation that waits and is no longer in the queue.
+    void decline(const run_pointer& entry, decline_reason reason);
+    bool lacks_repeat_budget(const reserve_message& terms, time_point now);
     void send_to_upstream(const run_pointer& entry, const run_message& message);
     exchange_request build_exchange(const run_pointer& entry, const run_message& message) const;
     void on_exchange_end(const run_pointer& entry, exchange_result result);
--- a/src/mesh/vm_directory.cpp
+++ b/src/mesh/vm_directory.cpp
@@ -1,6 +1,7 @@
 #include "mesh/vm_directory.hpp"
 
 #include "core/failure.hpp"
+
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
