Keep the fleet's repeats within the limit while upstreams come and go

Cause: the share of the repeat budget beside an upstream was checked when a slot was offered and charged when the request was sent, so several open offers passed the same check; an upstream that restarted got a fresh share of the slack, and a node that had just started and knew no peers took the whole slack; calls of repeated runs, which arrive as repeats, were guessed by a fixed quarter.

Change: an offer holds its repeat; the slack is a bucket that starts empty and is divided by the most upstreams known within the window; a call counts by the share of repeats among the runs open beside it. The budget belongs to the service, not to a lifetime of the upstream.

The cost is that a node's slack is empty in its first second or two.

--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -79,6 +79,9 @@
 
 void dispatched_request::start()
 {
+    if (!this->accepted.rank.is_new_request && this->owner.retry_share_of_calls) {
+        this->accepted.retry_share = this->owner.retry_share_of_calls();
+    }
     if (!this->accepted.needs_quota) {
         this->begin_round();
         return;
@@ -206,7 +209,8 @@
     message.organisation = this->accepted.organisation;
     message.rank = this->accepted.rank;
     message.is_repeatable = this->accepted.route.is_repeatable();
-    message.is_retry = this->may_have_been_sent || !this->runs.empty();
+    message.retry_share =
+        this->may_have_been_sent || !this->runs.empty() ? 1.0 : this->accepted.retry_share;
     message.start_within = this->start_within();
     message.failure_cost = this->failure_cost();
     message.expected_run = this->expected_run();
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -31,6 +31,8 @@
     time_point deadline{};
     revision_number revision = 0;
     bool needs_quota = false;
+    /// For a call that an upstream makes, the probability that a repeated run has made it.
+    double retry_share = 0;
 };
 
 /// Dispatches one request to an upstream. Once the organisation's quota admits the request, it
--- a/src/mesh/dispatcher.hpp
+++ b/src/mesh/dispatcher.hpp
@@ -64,6 +64,8 @@
     std::function<void(const node_id&)> reconnect;
     /// Called when a call that the upstream on this VM made through this node has failed.
     std::function<void()> on_nested_call_failed;
+    /// Probability that a call which the upstream on this VM makes now belongs to a repeated run.
+    std::function<double()> retry_share_of_calls;
 
 private:
     std::shared_ptr<dispatched_request> find(run_id id) const;
--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -24,6 +24,7 @@
     void operator()(std::uint64_t number) { this->fields.push_back(number); }
     void operator()(bool flag) { this->fields.push_back(flag); }
     void operator()(int number) { this->fields.push_back(number); }
+    void operator()(double number) { this->fields.push_back(number); }
     void operator()(milliseconds span) { this->fields.push_back(span.count()); }
     template<typename Tag>
     void operator()(const identifier<Tag>& id)
@@ -86,6 +87,7 @@
     }
     static void read(const json& field, bool& flag) { flag = field.get<bool>(); }
     static void read(const json& field, int& number) { number = field.get<int>(); }
+    static void read(const json& field, double& number) { number = field.get<double>(); }
     static void read(const json& field, milliseconds& span)
     {
         span = milliseconds{field.get<std::int64_t>()};
@@ -146,7 +148,7 @@
     }
     else if constexpr (std::is_same_v<type, reserve_message>) {
         archive(message.id), archive(message.service), archive(message.organisation);
-        archive(message.rank), archive(message.is_repeatable), archive(message.is_retry);
+        archive(message.rank), archive(message.is_repeatable), archive(message.retry_share);
         archive(message.start_within);
         archive(message.failure_cost), archive(message.expected_run);
     }
--- a/src/mesh/link_message.hpp
+++ b/src/mesh/link_message.hpp
@@ -38,8 +38,9 @@
     organisation_id organisation;
     work_rank rank;
     bool is_repeatable = false;
-    /// An upstream was sent this request before, so this is a retry and uses the retry budget.
-    bool is_retry = false;
+    /// Probability that the request counts as a repeat in the retry budget: 1 when an upstream was
+    /// sent this request before, otherwise the probability that a repeated run has made this call.
+    double retry_share = 0;
     /// Time within which the run must start: for a new request, so that the answer meets the
     /// latency objective; for a call made by an upstream or a retry, so that it meets the deadline.
     std::chrono::milliseconds start_within{0};
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -48,7 +48,9 @@
       requests(loop, this->options.names, this->options.node, this->options.centre),
       runner(loop, this->options.names, this->options.retry_limit,
              [this](const service_name& service) {
-                 return this->requests.directory.count_upstreams(service);
+                 return this->view.has_read_store()
+                            ? this->requests.directory.count_upstreams(service)
+                            : 0;
              }),
       registration(loop, store, this->options.keys, this->registration_callbacks()),
       view(loop, store, this->requests.directory, this->options.configuration_key,
@@ -70,6 +72,7 @@
         }
     };
     this->requests.on_nested_call_failed = [this] { this->runner.record_nested_call_failure(); };
+    this->requests.retry_share_of_calls = [this] { return this->runner.retry_share_of_runs(); };
     this->runner.on_change([this] { this->publish(); });
     this->register_metrics();
 }
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -58,7 +58,7 @@
       names(header_set),
       pool(loop, max_answer_bytes),
       service_retry_bound(bound),
-      upstream_retries(bound),
+      upstream_retries(bound, boot_clock::now()),
       upstream_count(std::move(count))
 {
 }
@@ -66,12 +66,16 @@
 check_in_verdict upstream_runner::apply_check_in(const upstream_check_in& report)
 {
     const time_point now = boot_clock::now();
+    const auto before = this->reports.current();
     const check_in_verdict verdict = this->reports.apply(report, now);
     if (verdict == check_in_verdict::outdated) {
         return verdict;
     }
     if (verdict == check_in_verdict::started) {
-        this->upstream_retries = upstream_retry_budget{this->service_retry_bound};
+        // The budget belongs to the service: a restarted upstream gets no new share of it.
+        if (!before || before->service != report.service) {
+            this->upstream_retries = upstream_retry_budget{this->service_retry_bound, now};
+        }
         this->health = {};
         this->connect_backoff_until = {};
         this->pool.close_idle();
@@ -171,7 +175,7 @@
         }
         this->queue.remove(entry->ticket, now);
         this->tickets.erase(entry->ticket);
-        this->slots_in_use -= entry->state == stage::offered ? 1 : 0;
+        this->withdraw_offer(entry);
         return true;
     });
     this->offer_next();
@@ -209,7 +213,7 @@
         this->reply_to(from, reservation_declined_message{message.id, reason, wait});
         return;
     }
-    if (this->is_over_retry_budget(message, now)) {
+    if (!this->has_retry_room(message, now)) {
         this->reply_to(from, reservation_declined_message{
                                  message.id, decline_reason::retry_budget_exhausted, wait});
         return;
@@ -246,6 +250,7 @@
     const auto cost = this->reservation_cost(entry->reservation, now);
     entry->state = stage::offered;
     entry->offered_until = now + offer_lifetime;
+    this->upstream_retries.hold(entry->reservation.retry_share);
     ++this->slots_in_use;
     this->reply_to(entry->key.first, reservation_accepted_message{entry->key.second, true, cost});
     this->arm_timer();
@@ -257,6 +262,14 @@
     return slots + slots / slots_per_extra_offer;
 }
 
+void upstream_runner::withdraw_offer(const run_pointer& entry)
+{
+    if (entry->state == stage::offered) {
+        this->upstream_retries.release(entry->reservation.retry_share);
+        --this->slots_in_use;
+    }
+}
+
 void upstream_runner::offer_next()
 {
     const time_point now = boot_clock::now();
@@ -271,7 +284,7 @@
         }
         const run_pointer entry = found->second;
         // The retry budget may have been used up while the reservation was queued.
-        if (this->is_over_retry_budget(entry->reservation, now)) {
+        if (!this->has_retry_room(entry->reservation, now)) {
             this->decline(entry, decline_reason::retry_budget_exhausted);
             continue;
         }
@@ -286,10 +299,23 @@
     this->reply_to(entry->key.first, reservation_declined_message{entry->key.second, reason, {}});
 }
 
-bool upstream_runner::is_over_retry_budget(const reserve_message& reservation, time_point now)
+bool upstream_runner::has_retry_room(const reserve_message& reservation, time_point now)
+{
+    return this->upstream_retries.has_room(reservation.retry_share, this->service_upstream_count(),
+                                           now);
+}
+
+double upstream_runner::retry_share_of_runs() const
 {
-    return reservation.is_retry &&
-           !this->upstream_retries.has_room(this->service_upstream_count(), now);
+    double retries = 0;
+    std::size_t open = 0;
+    for (const auto& [key, entry] : this->runs) {
+        if (entry->state == stage::running) {
+            retries += entry->reservation.retry_share;
+            ++open;
+        }
+    }
+    return open == 0 ? 0 : retries / static_cast<double>(open);
 }
 
 void upstream_runner::release(const run_key& key)
@@ -304,7 +330,7 @@
     }
     this->queue.remove(entry->ticket, boot_clock::now());
     this->tickets.erase(entry->ticket);
-    this->slots_in_use -= entry->state == stage::offered ? 1 : 0;
+    this->withdraw_offer(entry);
     this->runs.erase(found);
     this->offer_next();
 }
@@ -323,7 +349,7 @@
     const run_pointer entry = found->second;
     this->tickets.erase(entry->ticket);
     if (!this->reports.current()) {
-        --this->slots_in_use;
+        this->withdraw_offer(entry);
         this->runs.erase(found);
         this->reply_to(from,
                        failed_message{message.id, run_failure::not_run, "the upstream has left"});
@@ -338,12 +364,7 @@
     entry->started_at = boot_clock::now();
     entry->deadline = entry->started_at + message.time_left;
     this->last_run_at = entry->started_at;
-    if (entry->reservation.is_retry) {
-        this->upstream_retries.record_retry(entry->started_at);
-    }
-    else {
-        this->upstream_retries.record_first_request(entry->started_at);
-    }
+    this->upstream_retries.record_sent(entry->reservation.retry_share, entry->started_at);
     if (const auto id = find_header(message.head.headers, this->names.request_id)) {
         entry->request_id = std::string{*id};
     }
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -31,7 +31,7 @@
 public:
     using reply_function = std::function<void(const link_message&)>;
 
-    /// Returns the number of upstreams of a service.
+    /// Returns the number of upstreams of a service, 0 while it is unknown.
     using upstream_count_function = std::function<std::size_t(const service_name&)>;
 
     upstream_runner(boost::asio::io_context& loop, const header_names& names,
@@ -63,6 +63,20 @@
 
     /// Declines new work from now on; open runs continue.
     void begin_stop();
+    /// Changes the limit on repeats; what was sent in the current window stays counted.
+    void set_retry_limit(const service_retry_limit& bound)
+    {
+        this->service_retry_bound = bound;
+        this->upstream_retries.set_limit(bound);
+    }
+    /// Whether the outcome of a run waits for a node whose link was lost and that will ask for it.
+    bool has_undelivered_outcome(time_point now) const;
+    /// Reports the outcome of each open run as unknown, because this process is about to end.
+    void fail_open_runs();
+
+    /// Share of repeats among the open runs, which is the probability that a call made by the
+    /// upstream belongs to a repeated run.
+    double retry_share_of_runs() const;
 
     /// Slots that are offered or in use by runs.
     std::size_t busy_slot_count() const { return this->slots_in_use; }
@@ -101,10 +115,12 @@
     void start_run(const node_id& from, const run_message& message);
     void cancel(const run_key& key);
     void offer(const run_pointer& entry);
+    /// Frees the slot and the retry budget that an offer holds.
+    void withdraw_offer(const run_pointer& entry);
     void offer_next();
     /// Declines a waiting reservation that was already removed from the queue.
     void decline(const run_pointer& entry, decline_reason reason);
-    bool is_over_retry_budget(const reserve_message& reservation, time_point now);
+    bool has_retry_room(const reserve_message& reservation, time_point now);
     void send_to_upstream(const run_pointer& entry, const run_message& message);
     client_exchange_request build_exchange(const run_pointer& entry,
                                            const run_message& message) const;
