Answer every accepted request before a planned stop ends

Cause: at the limit of a stop the node closed its callers' connections with requests open, and closed its links with unread bytes, which resets them and loses responses that are on their way. A run whose VM could not be reached kept its caller waiting until the deadline, beyond the limit of the stop.

Change: at the limit each open request is answered: refused as not run if it was never handed over, otherwise with an unknown outcome. A node does not end while callers' bytes are unread or an outcome waits for a node whose link was lost. Links are shut down once everything was sent, and read on. An outcome that can no longer be fetched ends the request after 4 s.

--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -43,6 +43,19 @@
 /// this time.
 constexpr milliseconds lost_run_timeout{400};
 
+/// How long the node beside an upstream keeps an outcome that it could not deliver. After this time
+/// without a link, the outcome of a run cannot be learned any more.
+constexpr milliseconds outcome_retention{4'000};
+
+/// Retry-After of a request that is refused because this node stops: another VM takes it at once.
+constexpr milliseconds stop_retry_after{100};
+
+/// While the organisation's quota has no holder, its request is decided again after this pause, and
+/// refused this long after its arrival. The holder's planned stop leaves a gap of a few round trips
+/// to the store until the next node has claimed the group.
+constexpr milliseconds quota_retry_pause{40};
+constexpr milliseconds quota_wait_limit{300};
+
 /// Number of rounds after which VMs that already had the request are not tried again; prevents
 /// endless loops between VMs that do not run it.
 constexpr std::size_t max_rounds = 12;
@@ -485,6 +498,15 @@
     }
 }
 
+void dispatched_request::on_reachable(const node_id& node)
+{
+    for (auto& [id, run] : this->runs) {
+        if (run.vm == node) {
+            run.link_lost_at = {};
+        }
+    }
+}
+
 void dispatched_request::on_restarted(const node_id& node)
 {
     for (const auto& [id, run] : std::map{this->runs}) {
@@ -507,6 +529,29 @@
                                [&](const auto& item) { return item.second.vm == node; });
 }
 
+void dispatched_request::end_early(refusal_reason if_run, refusal_reason if_not_run)
+{
+    this->end_round();
+    if (this->failed_response) {
+        this->deliver(*std::exchange(this->failed_response, std::nullopt));
+    }
+    else if (this->runs_started > 0) {
+        this->refuse(if_run, ran::unknown, "");
+    }
+    else {
+        this->refuse(if_not_run, ran::no, "");
+    }
+}
+
+void dispatched_request::answer_before_stop()
+{
+    if (this->is_done) {
+        return;
+    }
+    this->shortest_wait = this->shortest_wait.value_or(stop_retry_after);
+    this->end_early(refusal_reason::upstream_failed, refusal_reason::node_stopping);
+}
+
 void dispatched_request::arm_tick()
 {
     const time_point now = boot_clock::now();
@@ -525,16 +570,7 @@
 {
     const time_point now = boot_clock::now();
     if (now >= this->accepted.deadline) {
-        this->end_round();
-        if (this->failed_response) {
-            this->deliver(*std::exchange(this->failed_response, std::nullopt));
-        }
-        else if (this->runs_started > 0) {
-            this->refuse(refusal_reason::deadline_exceeded, ran::unknown, "");
-        }
-        else {
-            this->refuse(refusal_reason::queue_timeout, ran::no, "");
-        }
+        this->end_early(refusal_reason::deadline_exceeded, refusal_reason::queue_timeout);
         return;
     }
     if (this->round != 0) {
@@ -550,6 +586,10 @@
     }
     for (const auto& [id, run] : std::map{this->runs}) {
         const bool is_lost = run.link_lost_at != time_point{};
+        if (is_lost && now > run.link_lost_at + outcome_retention) {
+            this->fail_run(id, {id, run_failure::unknown, "the VM that runs it is unreachable"});
+            continue;
+        }
         if (is_lost) {
             this->owner.reconnect(run.vm);
         }
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -49,12 +49,15 @@
 
     void start();
     void cancel() override;
+    void answer_before_stop() override;
 
     void receive(const node_id& from, const reservation_accepted_message& message);
     void receive(const node_id& from, const reservation_declined_message& message);
     void receive(const node_id& from, const response_message& message);
     void receive(const node_id& from, const failed_message& message);
     void on_unreachable(const node_id& node);
+    /// A new link to the node is open, so the outcomes of its runs arrive again.
+    void on_reachable(const node_id& node);
     void on_restarted(const node_id& node);
 
     bool is_running(run_id id, const node_id& node) const;
@@ -96,6 +99,9 @@
     /// end before its deadline. If so, counts the retry in the metrics.
     bool count_retry_if_allowed(retry_reason reason);
     void fail_run(run_id id, const failed_message& message);
+    /// Answers the request now with what is known: an earlier failed answer, or a refusal that says
+    /// whether the request may have run.
+    void end_early(refusal_reason if_run, refusal_reason if_not_run);
     /// Ends a round that found no upstream. While no other run is open, the request is answered
     /// with the failed answer of an earlier run, if there is one, and refused otherwise.
     void fail_round(refusal_reason reason, ran executed, const std::string& detail);
--- a/src/mesh/dispatcher.cpp
+++ b/src/mesh/dispatcher.cpp
@@ -66,6 +66,13 @@
     }
 }
 
+void dispatcher::on_reachable(const node_id& node)
+{
+    for (const auto& request : this->requests()) {
+        request->on_reachable(node);
+    }
+}
+
 void dispatcher::on_restarted(const node_id& node)
 {
     for (const auto& request : this->requests()) {
--- a/src/mesh/dispatcher.hpp
+++ b/src/mesh/dispatcher.hpp
@@ -37,6 +37,8 @@
     void receive(const node_id& from, const link_message& message);
     /// Notifies all requests that the link to the node failed or could not be opened.
     void on_unreachable(const node_id& node);
+    /// Notifies all requests that a new link to the node is open.
+    void on_reachable(const node_id& node);
     /// Notifies all requests that the node restarted, so that the outcome of its open runs is
     /// unknown.
     void on_restarted(const node_id& node);
--- a/src/mesh/event_loop_http_server.cpp
+++ b/src/mesh/event_loop_http_server.cpp
@@ -3,8 +3,11 @@
 #include "mesh/listener.hpp"
 #include "mesh/server_connection.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include <poll.h>
+
 namespace dragonflyroad {
 
 event_loop_http_server::event_loop_http_server(boost::asio::io_context& loop,
@@ -40,6 +43,22 @@
         });
 }
 
+void event_loop_http_server::answer_open_requests()
+{
+    const auto open = this->connections;
+    for (const auto& connection : open) {
+        connection->answer_before_stop();
+    }
+}
+
+bool event_loop_http_server::has_unread_input()
+{
+    pollfd waiting{this->acceptor.native_handle(), POLLIN, 0};
+    return ::poll(&waiting, 1, 0) > 0 ||
+           std::ranges::any_of(this->connections,
+                               [](const auto& open) { return open->has_unread_input(); });
+}
+
 void event_loop_http_server::close()
 {
     boost::system::error_code ignored;
--- a/src/mesh/event_loop_http_server.hpp
+++ b/src/mesh/event_loop_http_server.hpp
@@ -28,6 +28,10 @@
 
     /// Called when the caller's connection was closed, so that a response is no longer needed.
     virtual void cancel() = 0;
+
+    /// Called when the process is about to end: answers the request at once. The default leaves the
+    /// request unanswered, for requests that are always answered before serve() returns.
+    virtual void answer_before_stop() {}
 };
 
 using response_function = std::function<void(http_response)>;
@@ -63,6 +67,12 @@
     /// Makes each further response close its connection.
     void begin_stop() { this->stopping = true; }
 
+    /// Answers all open requests at once, because the process is about to end.
+    void answer_open_requests();
+
+    /// Whether a caller has connected or sent bytes that the server has not read yet.
+    bool has_unread_input();
+
     /// Closes the listener and all connections.
     void close();
 
--- a/src/mesh/link.cpp
+++ b/src/mesh/link.cpp
@@ -60,7 +60,7 @@
 
 void link::send(const link_message& message)
 {
-    if (this->is_closed) {
+    if (this->is_closed || this->has_shut_down) {
         return;
     }
     const std::string bytes = encode_link_message(message);
@@ -90,6 +90,21 @@
     functions.closed(*this, reason);
 }
 
+void link::finish()
+{
+    this->is_finishing = true;
+    this->shut_down_when_sent();
+}
+
+void link::shut_down_when_sent()
+{
+    if (this->is_finishing && !this->is_closed && !this->is_writing &&
+        this->pending_output.empty() && !std::exchange(this->has_shut_down, true)) {
+        boost::system::error_code ignored;
+        this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+}
+
 void link::read()
 {
     this->socket.async_read_some(boost::asio::buffer(this->input),
@@ -167,6 +182,7 @@
                 return;
             }
             self->write();
+            self->shut_down_when_sent();
         });
 }
 
--- a/src/mesh/link.hpp
+++ b/src/mesh/link.hpp
@@ -36,6 +36,9 @@
     void start();
     void send(const link_message& message);
     void close(const std::string& reason);
+    /// Shuts down the sending side once everything was sent, and goes on reading: closing a socket
+    /// with unread bytes resets the connection, and the peer could lose messages.
+    void finish();
 
     const std::string& peer() const { return this->peer_name; }
 
@@ -45,6 +48,7 @@
     /// closed.
     bool dispatch_messages();
     void write();
+    void shut_down_when_sent();
     void arm_timer();
     void on_timer();
 
@@ -58,6 +62,8 @@
     std::string writing;
     time_point last_received_at{};
     bool is_writing = false;
+    bool is_finishing = false;
+    bool has_shut_down = false;
     bool is_closed = false;
 };
 
--- a/src/mesh/link_table.cpp
+++ b/src/mesh/link_table.cpp
@@ -124,11 +124,23 @@
             log_line{"peer_restarted"}.add("peer", peer.value);
             this->handlers.restarted(peer);
         }
+        else {
+            this->handlers.reachable(peer);
+        }
         return;
     }
     this->handlers.receive(peer, std::move(message));
 }
 
+void link_table::finish_all()
+{
+    for (const auto& [peer, state] : this->peers) {
+        if (state.open_link != nullptr) {
+            state.open_link->finish();
+        }
+    }
+}
+
 void link_table::close_all()
 {
     for (auto& [peer, state] : this->peers) {
--- a/src/mesh/link_table.hpp
+++ b/src/mesh/link_table.hpp
@@ -35,6 +35,8 @@
         std::function<std::vector<run_id>(const node_id&)> open_runs;
         /// The link failed or could not be opened; reservations at the peer are dropped.
         std::function<void(const node_id&, const std::string& reason)> unreachable;
+        /// A link is open again, to the same incarnation of the peer as before.
+        std::function<void(const node_id&)> reachable;
         /// The peer's hello message carries another incarnation than before, so the outcome of the
         /// runs open there is unknown.
         std::function<void(const node_id&)> restarted;
@@ -51,6 +53,8 @@
     /// Opens a link unless there is one; used while runs are open at a peer whose link failed.
     void reconnect(const node_id& peer);
 
+    /// Closes all links once the peers have been sent everything.
+    void finish_all();
     void close_all();
 
 private:
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -31,6 +31,10 @@
 
 constexpr milliseconds stop_check_interval{100};
 
+/// Time between the last answers and the end of the process, in which callers and other nodes read
+/// them: several round trips between data centres.
+constexpr milliseconds flush_time{150};
+
 /// A random value other than 0. 64 bits make a repetition of an earlier process's value unlikely.
 incarnation generate_incarnation()
 {
@@ -155,6 +159,7 @@
     functions.unreachable = [this](const node_id& node, const std::string&) {
         this->requests.on_unreachable(node);
     };
+    functions.reachable = [this](const node_id& node) { this->requests.on_reachable(node); };
     functions.restarted = [this](const node_id& node) { this->requests.on_restarted(node); };
     functions.expects_traffic = [this](const node_id& node) {
         return this->requests.awaits_reply_from(node);
@@ -369,18 +374,13 @@
 void mesh_node::check_stop()
 {
     const time_point now = boot_clock::now();
-    const bool is_idle = this->callers.open_requests() == 0 && this->runner.busy_slot_count() == 0;
-    if ((is_idle && now > this->stop_started_at + min_stop_time) || now > this->stop_deadline) {
-        log_line{"stopped"}
-            .add("open_requests", this->callers.open_requests())
-            .add("running", this->runner.busy_slot_count());
-        this->registration.finish_stop();
-        this->view.stop();
-        this->feed.stop();
-        this->callers.close();
-        this->links.close_all();
-        this->peers.close();
-        this->stopped_callback();
+    const bool is_idle = this->callers.open_requests() == 0 &&
+                         this->runner.busy_slot_count() == 0 &&
+                         !this->runner.has_undelivered_outcome(now);
+    const bool may_end =
+        is_idle && now > this->stop_started_at + min_stop_time && !this->callers.has_unread_input();
+    if (may_end || now > this->stop_deadline) {
+        this->finish_stop();
         return;
     }
     this->stop_timer.expires_after(stop_check_interval);
@@ -391,6 +391,27 @@
     });
 }
 
+void mesh_node::finish_stop()
+{
+    log_line{"stopped"}
+        .add("open_requests", this->callers.open_requests())
+        .add("running", this->runner.busy_slot_count());
+    this->callers.answer_open_requests();
+    this->runner.fail_open_runs();
+    this->registration.finish_stop();
+    this->view.stop();
+    this->feed.stop();
+    this->links.finish_all();
+    this->peers.finish();
+    this->stop_timer.expires_after(flush_time);
+    this->stop_timer.async_wait([this](const boost::system::error_code&) {
+        this->callers.close();
+        this->links.close_all();
+        this->peers.close();
+        this->stopped_callback();
+    });
+}
+
 void mesh_node::register_metrics()
 {
     metrics& counters = this->requests.counters;
--- a/src/mesh/mesh_node.hpp
+++ b/src/mesh/mesh_node.hpp
@@ -88,6 +88,8 @@
                          const upstream_runner::reply_function& reply);
     void publish();
     void check_stop();
+    /// Sends everything that is still to be sent and then ends the stop.
+    void finish_stop();
     void register_metrics();
 
     boost::asio::io_context& context;
--- a/src/mesh/peer_listener.cpp
+++ b/src/mesh/peer_listener.cpp
@@ -100,6 +100,14 @@
     this->links.erase(ended.shared_from_this());
 }
 
+void peer_listener::finish()
+{
+    const auto open = this->links;
+    for (const auto& accepted : open) {
+        accepted->finish();
+    }
+}
+
 void peer_listener::close()
 {
     boost::system::error_code ignored;
--- a/src/mesh/peer_listener.hpp
+++ b/src/mesh/peer_listener.hpp
@@ -30,6 +30,8 @@
 
     /// Binds to `address`, "ip:port", and accepts links. False when that fails; see last_failure().
     bool listen(const std::string& address);
+    /// Closes all links once the peers have been sent everything.
+    void finish();
     void close();
 
 private:
--- a/src/mesh/server_connection.cpp
+++ b/src/mesh/server_connection.cpp
@@ -48,6 +48,24 @@
     this->server.connections.erase(self);
 }
 
+void server_connection::answer_before_stop()
+{
+    const std::deque<request_pointer> open = this->pipeline;
+    for (const request_pointer& entry : open) {
+        // Answering releases the served request, so the loop holds it until the call has returned.
+        const auto served = entry->served;
+        if (!this->is_closed && !entry->answer && served != nullptr) {
+            served->answer_before_stop();
+        }
+    }
+}
+
+bool server_connection::has_unread_input() const
+{
+    boost::system::error_code error;
+    return this->accepts_requests && this->socket.available(error) > 0 && !error;
+}
+
 void server_connection::read()
 {
     if (this->is_closed || this->is_reading || this->pipeline.size() >= max_pipelined_requests) {
--- a/src/mesh/server_connection.hpp
+++ b/src/mesh/server_connection.hpp
@@ -21,6 +21,11 @@
     void start();
     void close();
 
+    /// Answers the requests that were started; the last answer closes the connection.
+    void answer_before_stop();
+    /// Whether the caller has sent bytes that were not read yet.
+    bool has_unread_input() const;
+
 private:
     /// A request that was read and not yet answered.
     struct pipelined_request {
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -147,7 +147,7 @@
             this->reply_to(from, failed_message{id, run_failure::not_run, "not handed over"});
         }
         else if (found->second->outcome) {
-            this->reply_to(from, *found->second->outcome);
+            found->second->is_reported = this->reply_to(from, *found->second->outcome);
         }
         else if (found->second->state == stage::done) {
             this->reply_to(from, failed_message{id, run_failure::unknown, "outcome not kept"});
@@ -202,6 +202,26 @@
     this->tick();
 }
 
+bool upstream_runner::has_undelivered_outcome(time_point now) const
+{
+    return std::ranges::any_of(this->runs, [&](const auto& item) {
+        const run& entry = *item.second;
+        return entry.outcome && !entry.is_reported &&
+               now < entry.forget_at - run_retention + outcome_retention;
+    });
+}
+
+void upstream_runner::fail_open_runs()
+{
+    for (const auto& [key, entry] : this->runs) {
+        if (entry->state == stage::running) {
+            this->reply_to(key.first,
+                           failed_message{key.second, run_failure::unknown,
+                                          "the node beside the upstream ends before the run"});
+        }
+    }
+}
+
 void upstream_runner::reserve(const node_id& from, const reserve_message& message)
 {
     const time_point now = boot_clock::now();
@@ -427,7 +447,7 @@
         .add("detail", detail);
     entry->forget_at = now + run_retention;
     if (!entry->is_cancelled) {
-        this->reply_to(entry->key.first, outcome);
+        entry->is_reported = this->reply_to(entry->key.first, outcome);
         entry->outcome = std::move(outcome);
     }
     this->offer_next();
@@ -541,12 +561,14 @@
     return longest;
 }
 
-void upstream_runner::reply_to(const node_id& node, const link_message& message)
+bool upstream_runner::reply_to(const node_id& node, const link_message& message)
 {
     const auto found = this->peers.find(node);
-    if (found != this->peers.end() && found->second.reply) {
-        found->second.reply(message);
+    if (found == this->peers.end() || !found->second.reply) {
+        return false;
     }
+    found->second.reply(message);
+    return true;
 }
 
 void upstream_runner::tick()
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -101,6 +101,8 @@
         std::string request_id;
         std::shared_ptr<client_connection> connection;
         std::optional<link_message> outcome;
+        /// Whether the outcome was sent on an open link.
+        bool is_reported = false;
     };
     using run_pointer = std::shared_ptr<run>;
 
@@ -128,7 +130,8 @@
     link_message classify_result(const run_pointer& entry, client_exchange_result result);
     void record_outcome(const run_pointer& entry, const link_message& outcome);
     void handle_misdirected_request(const client_exchange_result& result);
-    void reply_to(const node_id& node, const link_message& message);
+    /// False when there is no link to the node.
+    bool reply_to(const node_id& node, const link_message& message);
     std::chrono::milliseconds reservation_cost(const reserve_message& reservation,
                                                time_point now) const;
     std::chrono::milliseconds max_run_overrun(time_point now) const;
--- a/test/support/mesh_fleet.cpp
+++ b/test/support/mesh_fleet.cpp
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include <boost/asio/steady_timer.hpp>
+
 using namespace dragonflyroad;
 
 namespace {
@@ -13,12 +15,15 @@
 constexpr int first_port = 23100;
 constexpr int ports_per_vm = 3;
 
+/// Run time of an upstream that answers late, within the requests' deadline of 1.5 s.
+constexpr std::chrono::milliseconds late_by{400};
+
 std::string address_of(std::size_t vm, int offset)
 {
     return "127.0.0.1:" + std::to_string(first_port + static_cast<int>(vm) * ports_per_vm + offset);
 }
 
-mesh_settings settings_of(std::size_t vm)
+mesh_settings settings_of(std::size_t vm, std::chrono::milliseconds stop_timeout)
 {
     mesh_settings settings;
     settings.node = node_id{"vm-" + std::to_string(vm)};
@@ -26,6 +31,7 @@
     settings.caller_service = service_name{"books"};
     settings.caller_address = address_of(vm, 0);
     settings.peer_address = address_of(vm, 1);
+    settings.stop_timeout = stop_timeout;
     settings.configuration_key = "op/config";
     settings.names = platform::platform_header_names();
     return settings;
@@ -44,7 +50,8 @@
 };
 
 loopback_upstream::loopback_upstream(boost::asio::io_context& loop, std::string upstream_name)
-    : name(std::move(upstream_name)),
+    : context(loop),
+      name(std::move(upstream_name)),
       server(loop, server_callbacks{
                        [this](const http_request& request, time_point, response_function answer) {
                            return this->serve(request, std::move(answer));
@@ -74,11 +81,18 @@
     }
     result.status = this->behaviour == upstream_behaviour::fails ? 500 : 200;
     result.headers.push_back({"X-Response-Signature", "signed"});
+    if (this->behaviour == upstream_behaviour::answers_late) {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(this->context, late_by);
+        timer->async_wait([timer, result, answer](const boost::system::error_code&) mutable {
+            answer(std::move(result));
+        });
+        return nullptr;
+    }
     answer(std::move(result));
     return nullptr;
 }
 
-mesh_fleet::mesh_fleet(std::size_t count)
+mesh_fleet::mesh_fleet(std::size_t count, std::chrono::milliseconds stop_timeout)
 {
     this->configure("r1", {"first-key"});
     for (std::size_t index = 0; index < count; ++index) {
@@ -87,8 +101,8 @@
         vm.upstream =
             std::make_unique<loopback_upstream>(this->context, "upstream-" + std::to_string(index));
         vm.upstream->listen(vm.upstream_address);
-        vm.node = std::make_unique<mesh_node>(this->context, settings_of(index), this->store,
-                                              platform::decode_configuration);
+        vm.node = std::make_unique<mesh_node>(this->context, settings_of(index, stop_timeout),
+                                              this->store, platform::decode_configuration);
         vm.node->start();
         vm.callers = std::make_unique<http_client_pool>(this->context, 1U << 20U);
         vm.callers->set_address(address_of(index, 0));
--- a/test/support/mesh_fleet.hpp
+++ b/test/support/mesh_fleet.hpp
@@ -14,7 +14,7 @@
 #include <nlohmann/json.hpp>
 
 /// How the test's upstream responds to a request.
-enum class upstream_behaviour { answers, fails, refuses, never_answers };
+enum class upstream_behaviour { answers, answers_late, fails, refuses, never_answers };
 
 /// An upstream in this process. By default it answers 200 with its name as body and echoes the
 /// attempt id.
@@ -34,6 +34,7 @@
     std::shared_ptr<dragonflyroad::served_request> serve(const dragonflyroad::http_request& request,
                                                          dragonflyroad::response_function answer);
 
+    boost::asio::io_context& context;
     std::string name;
     dragonflyroad::event_loop_http_server server;
 };
@@ -49,7 +50,8 @@
 /// A fleet of nodes in one process on loopback, with one service and an in-memory store.
 class mesh_fleet {
 public:
-    explicit mesh_fleet(std::size_t vms);
+    explicit mesh_fleet(std::size_t vms,
+                        std::chrono::milliseconds stop_timeout = std::chrono::milliseconds{5'500});
 
     /// Runs the loop until the condition holds; false if it does not within `limit`.
     bool run_until(const std::function<bool()>& condition,
