Bound the memory that an endless response can take

Cause: the parser limits heads only. A chunk header or a trailer without an end, and interim responses without end, were read until the deadline; a body was limited to 64 MiB, on VMs with 160 MB and up to 15 slots.

Change: incomplete parts are limited to 128 KiB, interim responses to 16, one response to a sixteenth of the process's memory and all of an upstream's responses together to an eighth.

--- a/src/mesh/http_client_pool.cpp
+++ b/src/mesh/http_client_pool.cpp
@@ -50,8 +50,9 @@
 
 } // namespace
 
-http_client_pool::http_client_pool(boost::asio::io_context& loop, std::size_t max_body_bytes)
-    : context(loop), body_limit(max_body_bytes)
+http_client_pool::http_client_pool(boost::asio::io_context& loop, std::size_t max_body_bytes,
+                                   std::size_t max_receiving_bytes)
+    : context(loop), body_limit(max_body_bytes), receiving_limit(max_receiving_bytes)
 {
 }
 
@@ -124,6 +125,8 @@
     this->decoder.emplace(this->request.method, this->pool->body_limit);
     this->is_written = false;
     this->skipped_responses = 0;
+    this->response_bytes = 0;
+    ++this->pool->open_requests;
     this->request_started_at = boot_clock::now();
     this->arm_timer(this->request.deadline);
     if (this->is_connected) {
@@ -216,10 +219,23 @@
         this->finish(client_exchange_outcome::broken, error.message());
         return;
     }
+    this->response_bytes += size;
+    this->pool->receiving_bytes += size;
+    if (this->exceeds_receiving_limit()) {
+        this->finish(client_exchange_outcome::broken, "the response takes up too much memory");
+        return;
+    }
     this->buffer.append(this->input.data(), size);
     this->decode();
 }
 
+bool client_connection::exceeds_receiving_limit() const
+{
+    const std::size_t limit = this->pool->receiving_limit;
+    return this->pool->receiving_bytes > limit &&
+           this->response_bytes > limit / this->pool->open_requests;
+}
+
 void client_connection::decode()
 {
     const decode_state state = this->decoder->decode(this->buffer);
@@ -259,6 +275,8 @@
     if (function == nullptr) {
         return;
     }
+    --this->pool->open_requests;
+    this->pool->receiving_bytes -= this->response_bytes;
     const bool is_reusable = end == client_exchange_outcome::answered && this->is_written &&
                              this->response.keeps_connection && this->buffer.empty();
     if (is_reusable) {
--- a/src/mesh/http_client_pool.hpp
+++ b/src/mesh/http_client_pool.hpp
@@ -57,7 +57,10 @@
 public:
     using done_function = std::function<void(client_exchange_result)>;
 
-    http_client_pool(boost::asio::io_context& loop, std::size_t max_body_bytes);
+    /// `max_body_bytes` limits one response. Together, the responses being received are limited to
+    /// `max_receiving_bytes`: beyond it, the requests with more than their share of it fail.
+    http_client_pool(boost::asio::io_context& loop, std::size_t max_body_bytes,
+                     std::size_t max_receiving_bytes);
 
     /// Sets the peer address, "ip:port". Changing it closes the idle connections to the old
     /// address.
@@ -83,6 +86,10 @@
 
     boost::asio::io_context& context;
     std::size_t body_limit;
+    std::size_t receiving_limit;
+    /// Bytes of the responses that are being received, and their number.
+    std::size_t receiving_bytes = 0;
+    std::size_t open_requests = 0;
     std::string address;
     std::chrono::milliseconds idle_limit{8'000};
     std::list<std::shared_ptr<client_connection>> idle;
@@ -106,6 +113,8 @@
     void read();
     void on_read(const boost::system::error_code& error, std::size_t size);
     void decode();
+    /// Whether the open responses exceed the pool's limit and this one has more than its share.
+    bool exceeds_receiving_limit() const;
     void finish(client_exchange_outcome end, std::string detail);
     /// Whether a request failed because the peer had already closed this pooled connection.
     bool is_stale_connection_error(client_exchange_outcome end) const;
@@ -131,6 +140,7 @@
     bool is_written = false;
     bool is_closed = false;
     int skipped_responses = 0;
+    std::size_t response_bytes = 0;
 };
 
 } // namespace dragonflyroad
--- a/src/mesh/http_codec.cpp
+++ b/src/mesh/http_codec.cpp
@@ -17,6 +17,13 @@
 /// Upper bound on the head of a response in bytes; upstreams are expected to stay far below it.
 constexpr std::size_t max_response_header_bytes = 64U << 10U;
 
+/// Upper bound on the bytes of an incomplete head, chunk header or trailer. The parser limits only
+/// heads, so a chunk header without an end would use up the memory.
+constexpr std::size_t max_unparsed_bytes = 128U << 10U;
+
+/// Upper bound on the interim (1xx) responses to one request; upstreams send at most a few.
+constexpr int max_interim_responses = 16;
+
 template<typename Fields>
 http_headers copy_headers(const Fields& fields)
 {
@@ -49,7 +56,7 @@
         const std::size_t used = parser.put(boost::asio::buffer(buffer), error);
         buffer.erase(0, used);
         if (error || used == 0) {
-            return to_state(error);
+            return buffer.size() > max_unparsed_bytes ? decode_state::malformed : to_state(error);
         }
     }
     return parser.is_done() ? decode_state::complete : decode_state::incomplete;
@@ -120,6 +127,7 @@
     }
 
     std::optional<parser_type> parser;
+    int interim_responses = 0;
     std::size_t max_body_bytes = 0;
     bool has_no_body = false;
 };
@@ -139,6 +147,9 @@
         if (result != decode_state::complete || !this->state->is_interim()) {
             return result;
         }
+        if (++this->state->interim_responses > max_interim_responses) {
+            return decode_state::malformed;
+        }
         this->state->reset();
     }
 }
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -50,7 +50,7 @@
       options(std::move(initial_settings)),
       own_incarnation(generate_incarnation()),
       requests(loop, this->options.names, this->options.node, this->options.centre),
-      runner(loop, this->options.names, this->options.retry_limit,
+      runner(loop, this->options.names, this->options.retry_limit, this->options.memory_bytes,
              [this](const service_name& service) {
                  return this->view.has_read_store()
                             ? this->requests.directory.count_upstreams(service)
--- a/src/mesh/mesh_node.hpp
+++ b/src/mesh/mesh_node.hpp
@@ -11,6 +11,7 @@
 #include "mesh/quota_coordinator.hpp"
 #include "mesh/upstream_runner.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -36,6 +37,8 @@
     std::chrono::milliseconds max_proof_age{4'700};
     /// Longest time from the stop signal to the end of the process.
     std::chrono::milliseconds stop_timeout{5'500};
+    /// Memory that the process may use.
+    std::size_t memory_bytes = 256U << 20U;
     /// Store key of the operators' configuration.
     std::string configuration_key;
     fleet_keys keys;
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -37,7 +37,11 @@
 constexpr std::chrono::milliseconds unsafe_idle_limit{1'500};
 constexpr std::chrono::milliseconds safe_idle_limit{8'000};
 
-constexpr std::size_t max_answer_bytes = 64U << 20U;
+/// Shares of the process's memory for one response of the upstream and for all that are being
+/// received. A response is copied up to four times on its way over a link. An upstream in trouble
+/// may send bytes without end.
+constexpr std::size_t response_memory_divisor = 16;
+constexpr std::size_t receiving_memory_divisor = 8;
 
 /// One offer beyond the upstream's slots is made for every this many slots. The upstream queues a
 /// few requests itself, so its slots are not idle during the round trip of an offer.
@@ -53,10 +57,11 @@
 } // namespace
 
 upstream_runner::upstream_runner(boost::asio::io_context& loop, const header_names& header_set,
-                                 service_retry_limit bound, upstream_count_function count)
+                                 service_retry_limit bound, std::size_t memory_bytes,
+                                 upstream_count_function count)
     : timer(loop),
       names(header_set),
-      pool(loop, max_answer_bytes),
+      pool(loop, memory_bytes / response_memory_divisor, memory_bytes / receiving_memory_divisor),
       service_retry_bound(bound),
       upstream_retries(bound, boot_clock::now()),
       upstream_count(std::move(count))
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -35,7 +35,8 @@
     using upstream_count_function = std::function<std::size_t(const service_name&)>;
 
     upstream_runner(boost::asio::io_context& loop, const header_names& names,
-                    service_retry_limit bound, upstream_count_function count);
+                    service_retry_limit bound, std::size_t memory_bytes,
+                    upstream_count_function count);
 
     /// Applies a check-in report of the upstream. The caller logs the verdict.
     check_in_verdict apply_check_in(const upstream_check_in& report);
--- a/test/support/mesh_fleet.cpp
+++ b/test/support/mesh_fleet.cpp
@@ -104,7 +104,7 @@
         vm.node = std::make_unique<mesh_node>(this->context, settings_of(index, stop_timeout),
                                               this->store, platform::decode_configuration);
         vm.node->start();
-        vm.callers = std::make_unique<http_client_pool>(this->context, 1U << 20U);
+        vm.callers = std::make_unique<http_client_pool>(this->context, 1U << 20U, 64U << 20U);
         vm.callers->set_address(address_of(index, 0));
         this->vms.push_back(std::move(vm));
     }
