--- a/src/mesh/node_directory.cpp
+++ b/src/mesh/node_directory.cpp
@@ -1,5 +1,6 @@
 #include "mesh/node_directory.hpp"
 
+#include "adapters/address.hpp"
 #include "core/failure.hpp"
 
 #include <algorithm>
@@ -8,6 +9,21 @@
 
 namespace dragonflyroad {
 
+namespace {
+
+/// Entries of nodes take about 200 bytes; a longer text is not parsed.
+constexpr std::size_t max_entry_bytes = 4U << 10U;
+
+constexpr std::uint64_t max_slots = 65'535;
+
+bool is_valid_address(const std::string& text)
+{
+    const auto address = parse_address(text);
+    return address && address->port != 0;
+}
+
+} // namespace
+
 std::string node_entry::to_text() const
 {
     const nlohmann::json document{{"node", this->node.value},       {"run", this->node_incarnation},
@@ -18,9 +34,21 @@
 
 std::optional<node_entry> node_entry::from_text(const std::string& text, const std::string& source)
 {
+    if (text.size() > max_entry_bytes) {
+        return fail("decode node entry", source,
+                    "an entry has at most " + std::to_string(max_entry_bytes) + " bytes, got " +
+                        std::to_string(text.size()));
+    }
     try {
         const auto document = nlohmann::json::parse(text);
         node_entry entry;
+        const auto& slots = document.at("slots");
+        if (!document.at("run").is_number_unsigned() || !slots.is_number_unsigned() ||
+            slots.get<std::uint64_t>() > max_slots) {
+            return fail("decode node entry", source,
+                        "run must be an unsigned integer and slots one of at most " +
+                            std::to_string(max_slots));
+        }
         entry.node = node_id{document.at("node").get<std::string>()};
         entry.node_incarnation = document.at("run").get<incarnation>();
         entry.address = document.at("address").get<std::string>();
--- a/src/mesh/node_directory.hpp
+++ b/src/mesh/node_directory.hpp
@@ -27,7 +27,8 @@
     bool operator==(const node_entry&) const = default;
 
     std::string to_text() const;
-    /// Returns nothing when the text is not a valid entry; the reason is in last_failure(), which
+    /// Returns nothing when the text is not a valid entry, for example because another writer has
+    /// left it or its numbers are out of range; the reason is in last_failure(), which
     /// names `source`.
     static std::optional<node_entry> from_text(const std::string& text, const std::string& source);
 };
--- a/src/mesh/node_registration.cpp
+++ b/src/mesh/node_registration.cpp
@@ -45,6 +45,21 @@
 constexpr milliseconds claim_delay_per_rank{150};
 constexpr std::size_t last_claim_rank = 8;
 
+/// Upper bound on the value of a group: the name of a node and its lease.
+constexpr std::size_t max_group_value_bytes = 512;
+
+/// The node in a group's value, "NODE LEASE". Nothing when another writer has left something else;
+/// the group then counts as vacant.
+std::optional<node_id> holder_in(const std::string& value)
+{
+    const std::size_t space = value.find(' ');
+    if (value.size() > max_group_value_bytes || space == 0 || space == std::string::npos ||
+        value.find_first_not_of("0123456789", space + 1) != std::string::npos) {
+        return std::nullopt;
+    }
+    return node_id{value.substr(0, space)};
+}
+
 } // namespace
 
 node_registration::node_registration(boost::asio::io_context& loop, shared_store& platform_store,
@@ -210,7 +225,10 @@
     this->holders[group].reset();
     this->vacant_since[group] = std::max(this->vacant_since[group], boot_clock::now());
     if (value) {
-        this->holders[group] = node_id{value->substr(0, value->find(' '))};
+        this->holders[group] = holder_in(*value);
+        if (!this->holders[group]) {
+            log_line{"group_entry_rejected"}.add("group", group).add("bytes", value->size());
+        }
     }
     // The reply to a claim may have been lost, so the claim is recognised by its value here. The
     // lease in the value distinguishes it from a claim of an earlier process of this node.
@@ -262,7 +280,7 @@
         const std::size_t rank = std::min(this->claim_rank(group), last_claim_rank);
         if (now >=
             this->vacant_since[group] + claim_delay_per_rank * static_cast<std::int64_t>(rank)) {
-            this->claim(group, 0);
+            this->claim(group, this->group_revisions[group]);
         }
     }
 }
--- /dev/null
+++ b/test/error/test_odd_entries.cpp
@@ -0,0 +1,72 @@
+#include "platform/check_in.hpp"
+#include "test/support/mesh_fleet.hpp"
+
+#include <string>
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string entry(const std::string& node, const std::string& address, const std::string& slots)
+{
+    return R"({"node":")" + node + R"(","run":7,"address":")" + address +
+           R"(","centre":"ikeja","service":"books","slots":)" + slots + "}";
+}
+
+} // namespace
+
+// Guards against nodes that end or stop following the store because another writer has left an
+// entry that cannot be used, and against requests that are sent to what such an entry names.
+TEST_CASE("odd entries among those of the nodes are skipped and later changes still arrive")
+{
+    mesh_fleet fleet{2};
+    const std::string prefix = "dragonflyroad/vm/";
+    fleet.store.put(prefix + "nested", std::string(200'000, '['));
+    fleet.store.put(prefix + "objects", std::string(1'000, '{'));
+    fleet.store.put(prefix + "port", entry("port", "127.0.0.1:70000", "2"));
+    fleet.store.put(prefix + "zero", entry("zero", "127.0.0.1:0", "2"));
+    fleet.store.put(prefix + "infinite", entry("infinite", "127.0.0.1:9", "1e999"));
+    fleet.store.put(prefix + "large", entry("large", "127.0.0.1:9", "99999999999999999999999"));
+    fleet.store.put(prefix + "wraps", entry("wraps", "127.0.0.1:9", "4294967298"));
+    fleet.store.put(prefix + "negative", entry("negative", "127.0.0.1:9", "-1"));
+    fleet.store.put(prefix + "fraction", entry("fraction", "127.0.0.1:9", "2.5"));
+    fleet.store.put(prefix + "bytes", "\xff\xfe\x00{\"node\":\"\xc3\x28\"}");
+    fleet.store.put("dragonflyroad/quota/3", std::string(100'000, '['));
+    fleet.configure("r2", {"other-key", "first-key"});
+    fleet.run_until([] { return false; }, 1s);
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+        CHECK(fleet.vms[vm].node->metrics_text().find("known_nodes 2") != std::string::npos);
+        CHECK(fleet.exchange(vm, "POST").response.status == 200);
+    }
+    fleet.configure("r3", {"third-key"});
+    fleet.run_until([] { return false; }, 1s);
+    CHECK(fleet.exchange(0, "GET").response.status == 401);
+    CHECK(fleet.exchange(1, "GET").response.status == 401);
+}
+
+// Guards against check-ins whose numbers wrap around or are undefined when they are converted: a
+// sequence that is too large would make every later check-in outdated.
+TEST_CASE("a check-in with an odd field is refused")
+{
+    const auto decodes = [](const std::string& slots, const std::string& sequence,
+                            const std::string& born) {
+        return platform::decode_check_in(
+                   "i-1", R"({"address":"127.0.0.1:9","born":)" + born +
+                              R"(,"info":{"service":"books","slots":)" + slots +
+                              R"(},"status":{"state":"ready","sequence":)" + sequence + "}}")
+            .has_value();
+    };
+    CHECK(decodes("2", "4", "1000"));
+    CHECK_FALSE(decodes("4294967298", "4", "1000"));
+    CHECK_FALSE(decodes("-2", "4", "1000"));
+    CHECK_FALSE(decodes("2.5", "4", "1000"));
+    CHECK_FALSE(decodes("1e300", "4", "1000"));
+    CHECK_FALSE(decodes("\"2\"", "4", "1000"));
+    CHECK_FALSE(decodes("2", "1e30", "1000"));
+    CHECK_FALSE(decodes("2", "18446744073709551615", "1000"));
+    CHECK_FALSE(decodes("2", "4", "1e30"));
+    CHECK_FALSE(decodes(std::string(20'000, '[') + std::string(20'000, ']'), "4", "1000"));
+}
