Show which configuration and settings file is in force on every node

Cause: operators could not tell which nodes have taken a change. SIGHUP applied the store's address only, a change without a signal was not noticed, and a bad file was rejected without its line.

--- a/src/dispatch/organisation_quota.hpp
+++ b/src/dispatch/organisation_quota.hpp
@@ -38,6 +38,8 @@
 public:
     explicit lease_holder_rate_limiter(quota_tolerance allowed) : tolerance(allowed) {}
 
+    void set_tolerance(const quota_tolerance& allowed) { this->tolerance = allowed; }
+
     /// Takes the token of one request. Returns nothing when admitted; when refused, the time until
     /// the next token is available.
     std::optional<std::chrono::milliseconds>
@@ -70,6 +72,8 @@
     {
     }
 
+    void set_tolerance(const quota_tolerance& allowed) { this->tolerance = allowed; }
+
     /// Takes one request's token; false when this node may not admit it.
     bool try_admit(const organisation_id& organisation, const organisation_limit& limit,
                    std::size_t fleet_size, time_point now);
--- a/src/mesh/fleet_view.cpp
+++ b/src/mesh/fleet_view.cpp
@@ -103,6 +103,7 @@
     else {
         this->source_choice->record_store_failure(boot_clock::now());
     }
+    this->store_failure = reachable ? "" : detail;
     if (std::exchange(this->is_reachable, reachable) != reachable) {
         log_line{reachable ? "store_regained" : "store_lost"}
             .add("revision", this->revision)
@@ -404,8 +405,10 @@
             .add("source", "store")
             .add("store_revision", item.revision)
             .add("detail", last_failure().detail);
+        this->configuration_rejection = last_failure().detail;
         return;
     }
+    this->configuration_rejection.clear();
     if (this->table == nullptr || decoded->revision() > this->table->revision()) {
         this->history.add(*decoded);
     }
@@ -419,6 +422,26 @@
     }
     log_line{"configuration"}.add("revision", next.revision()).add("source", source);
     this->table = std::make_shared<const routing_table>(std::move(next));
+    this->adopted_at = boot_clock::now();
+}
+
+replica_status fleet_view::status(time_point now) const
+{
+    replica_status state;
+    state.revision = this->table == nullptr ? 0 : this->table->revision();
+    state.in_force_since = this->adopted_at;
+    state.proved_until = this->freshness.as_of();
+    state.source = this->followed ? this->followed->value : "store";
+    if (!this->configuration_rejection.empty()) {
+        state.waits_for = "a valid configuration: " + this->configuration_rejection;
+    }
+    else if (this->table == nullptr || !this->freshness.is_recent(now, max_view_age)) {
+        state.waits_for = this->followed ? "node " + this->followed->value : "the store";
+        if (!this->store_failure.empty()) {
+            state.waits_for += ", the last call to the store failed: " + this->store_failure;
+        }
+    }
+    return state;
 }
 
 void fleet_view::apply_vm(const stored_item& item)
--- a/src/mesh/fleet_view.hpp
+++ b/src/mesh/fleet_view.hpp
@@ -9,6 +9,7 @@
 #include "mesh/link_message.hpp"
 #include "mesh/node_directory.hpp"
 #include "mesh/node_registration.hpp"
+#include "mesh/node_report.hpp"
 #include "mesh/routing_table.hpp"
 #include "mesh/shared_store.hpp"
 
@@ -119,6 +120,11 @@
     std::uint64_t nonce = 0;
     time_point followed_at{};
     time_point started_at{};
+    time_point adopted_at{};
+    /// Why the last call to the store failed; empty when it succeeded.
+    std::string store_failure;
+    /// Why the newest configuration in the store was rejected; empty when it was not.
+    std::string configuration_rejection;
     bool is_reachable = false;
     bool wants_large_update = false;
 };
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -238,6 +238,7 @@
     own.node_incarnation = this->own_incarnation;
     own.address = this->options.peer_address;
     own.centre = this->options.centre;
+    own.report_address = this->options.report_address;
     if (const auto serving = this->runner.available_upstream()) {
         own.service = serving->service;
         own.slots = serving->slots;
@@ -245,6 +246,29 @@
     return own;
 }
 
+void mesh_node::apply(const mesh_settings& changed)
+{
+    this->options.quota = changed.quota;
+    this->options.retry_limit = changed.retry_limit;
+    this->options.max_proof_age = changed.max_proof_age;
+    this->options.stop_timeout = changed.stop_timeout;
+    this->quota.set_tolerance(changed.quota);
+    this->runner.set_retry_limit(changed.retry_limit);
+}
+
+node_report mesh_node::report() const
+{
+    const time_point now = boot_clock::now();
+    node_report report = make_report(this->view.status(now), this->settings_in_force, now);
+    const node_entry own = this->own_entry();
+    report.node = own.node;
+    report.centre = own.centre;
+    report.service = own.service;
+    report.is_ready = this->is_ready();
+    report.is_stopping = this->stop_started_at != time_point{};
+    return report;
+}
+
 void mesh_node::publish()
 {
     const node_entry own = this->own_entry();
@@ -422,6 +446,22 @@
     counters.add_metric_callback("upstream_connections_total", "counter", [this] {
         return static_cast<double>(this->runner.connections_opened());
     });
+    counters.add_metric_callback("configuration_revision", "gauge", [this] {
+        return static_cast<double>(this->view.status(boot_clock::now()).revision);
+    });
+    counters.add_metric_callback("configuration_proof_age_seconds", "gauge", [this] {
+        const std::chrono::duration<double> age = boot_clock::now() - this->view.proof().as_of();
+        return age.count();
+    });
+    counters.add_metric_callback("settings_reloads_total", "counter", [this] {
+        return static_cast<double>(this->settings_in_force.reloads);
+    });
+    counters.add_metric_callback("settings_rejections_total", "counter", [this] {
+        return static_cast<double>(this->settings_in_force.rejections);
+    });
+    counters.add_metric_callback("settings_file_rejected", "gauge", [this] {
+        return this->settings_in_force.rejection.empty() ? 0.0 : 1.0;
+    });
     counters.add_metric_callback("known_nodes", "gauge", [this] {
         return static_cast<double>(this->requests.directory.size());
     });
--- a/src/mesh/mesh_node.hpp
+++ b/src/mesh/mesh_node.hpp
@@ -7,6 +7,7 @@
 #include "mesh/fleet_view.hpp"
 #include "mesh/link_table.hpp"
 #include "mesh/node_registration.hpp"
+#include "mesh/node_report.hpp"
 #include "mesh/peer_listener.hpp"
 #include "mesh/quota_coordinator.hpp"
 #include "mesh/upstream_runner.hpp"
@@ -31,6 +32,8 @@
     service_name caller_service;
     std::string caller_address;
     std::string peer_address;
+    /// Where operators fetch this node's report; published in its entry. Empty: nowhere.
+    std::string report_address;
     quota_tolerance quota;
     service_retry_limit retry_limit;
     /// Greatest age of the configuration's freshness proof at which requests with a key are served.
@@ -68,6 +71,17 @@
     }
     bool deregister_upstream(const std::string& id) { return this->runner.deregister_upstream(id); }
 
+    /// Applies the settings that may change while the node runs: the tolerances of quotas and
+    /// repeats, the greatest proof age and the duration of a stop. The others need a restart.
+    void apply(const mesh_settings& changed);
+    void set_settings_status(settings_status status)
+    {
+        this->settings_in_force = std::move(status);
+    }
+    const settings_status& settings_state() const { return this->settings_in_force; }
+    /// What the node reports about the configuration and the settings in force.
+    node_report report() const;
+
     const mesh_settings& settings() const { return this->options; }
     std::string metrics_text() const { return this->requests.counters.to_prometheus(); }
 
@@ -109,6 +123,7 @@
     event_loop_http_server callers;
     boost::asio::steady_timer stop_timer;
     std::function<void()> stopped_callback;
+    settings_status settings_in_force;
     time_point stop_started_at{};
     time_point stop_deadline{};
 };
--- a/src/mesh/node_directory.cpp
+++ b/src/mesh/node_directory.cpp
@@ -28,7 +28,8 @@
 {
     const nlohmann::json document{{"node", this->node.value},       {"run", this->node_incarnation},
                                   {"address", this->address},       {"centre", this->centre.value},
-                                  {"service", this->service.value}, {"slots", this->slots}};
+                                  {"service", this->service.value}, {"slots", this->slots},
+                                  {"report", this->report_address}};
     return document.dump();
 }
 
@@ -54,7 +55,13 @@
         entry.address = document.at("address").get<std::string>();
         entry.centre = data_centre{document.at("centre").get<std::string>()};
         entry.service = service_name{document.at("service").get<std::string>()};
-        entry.slots = document.at("slots").get<std::uint32_t>();
+        entry.slots = slots.get<std::uint32_t>();
+        entry.report_address = document.value("report", "");
+        if (!is_valid_address(entry.address)) {
+            return fail("decode node entry", source,
+                        "address must be ip:port with a port from 1 to 65535, got " +
+                            entry.address);
+        }
         return entry;
     }
     catch (const nlohmann::json::exception& error) {
--- a/src/mesh/node_directory.hpp
+++ b/src/mesh/node_directory.hpp
@@ -23,6 +23,8 @@
     /// The service of the upstream beside the node; empty while that upstream accepts no new work.
     service_name service;
     std::uint32_t slots = 0;
+    /// Where the node's report is served, "ip:port"; empty when it is not.
+    std::string report_address;
 
     bool operator==(const node_entry&) const = default;
 
--- a/src/mesh/quota_coordinator.cpp
+++ b/src/mesh/quota_coordinator.cpp
@@ -213,6 +213,12 @@
     this->finish(reply.id, {verdict, reply.retry_after, reply.is_admitted, describe_limit(limit)});
 }
 
+void quota_coordinator::set_tolerance(const quota_tolerance& tolerance)
+{
+    this->held_quota.set_tolerance(tolerance);
+    this->fallback_limiter.set_tolerance(tolerance);
+}
+
 void quota_coordinator::drop_group(std::size_t group)
 {
     this->held_quota.drop_if(
--- a/src/mesh/quota_coordinator.hpp
+++ b/src/mesh/quota_coordinator.hpp
@@ -84,6 +84,9 @@
     void handle_refund(const quota_refund_message& message);
     void receive(const quota_reply_message& reply);
 
+    /// Changes the tolerance; the tokens of the organisations stay as they are.
+    void set_tolerance(const quota_tolerance& tolerance);
+
     /// Discards the token buckets of a group that this node no longer holds.
     void drop_group(std::size_t group);
 
