Give entries a long lease and let only quota holders renew a short one

Every node renewed a lease of 4.5 s every 1.5 s, and after an outage of the store longer than that every node asked for a new lease and wrote its entry again. At the first start every node read the whole store at the full price.

Change: a node's entry has a lease of 15 s. Quota groups have a lease of 4.5 s of their own, which only their holders ask for. At the first start of the fleet the first read may be stale; the proof comes from the watch or the followed node. A VM that does not respond is avoided for up to 6 s, because its entry stays longer, and until it writes an entry or opens a link.

--- a/src/dispatch/vm_selector.cpp
+++ b/src/dispatch/vm_selector.cpp
@@ -9,8 +9,11 @@
 
 constexpr std::chrono::milliseconds cost_half_life{700};
 
-/// How long a VM counts as unreachable after a failed connection; each further failure renews it.
+/// How long a VM counts as unreachable after a failed connection. The time doubles with each
+/// further failure up to the limit, so that VMs which are gone cost few reservations until their
+/// entries expire.
 constexpr std::chrono::milliseconds unreachable_time{1'500};
+constexpr int max_doublings = 2;
 
 /// Costs in milliseconds that order the candidates. Traffic between data centres is billed and
 /// takes a few milliseconds more; `max_random_cost` and `own_vm_bonus` only break ties between VMs
@@ -35,12 +38,16 @@
 
 void vm_selector::record_unreachable(const node_id& vm, time_point now)
 {
-    this->observations[vm].unreachable_until = now + unreachable_time;
+    vm_observation& observed = this->observations[vm];
+    observed.unreachable_until = now + unreachable_time * (1 << observed.failures);
+    observed.failures = std::min(observed.failures + 1, max_doublings);
 }
 
 void vm_selector::record_reachable(const node_id& vm)
 {
-    this->observations[vm].unreachable_until = {};
+    vm_observation& observed = this->observations[vm];
+    observed.unreachable_until = {};
+    observed.failures = 0;
 }
 
 bool vm_selector::is_unreachable(const node_id& vm, time_point now) const
--- a/src/dispatch/vm_selector.hpp
+++ b/src/dispatch/vm_selector.hpp
@@ -27,6 +27,8 @@
     /// The VM counts as unreachable until this time: connecting failed or the connection went
     /// silent.
     time_point unreachable_until{};
+    /// Failures to reach the VM since it last replied.
+    int failures = 0;
 };
 
 /// Selects the VMs that are asked to reserve a slot for a request. Load is balanced by late
--- a/src/mesh/fleet_view.cpp
+++ b/src/mesh/fleet_view.cpp
@@ -69,12 +69,13 @@
 {
 }
 
-void fleet_view::start(const node_entry& own)
+void fleet_view::start(const node_entry& own, read_freshness first_read)
 {
+    this->first_read_freshness = first_read;
     this->self = own;
     this->started_at = boot_clock::now();
     this->source_choice.emplace(own.node);
-    this->read_all();
+    this->read_all(first_read);
     this->arm_maintenance();
 }
 
@@ -111,15 +112,16 @@
     }
 }
 
-void fleet_view::read_all()
+void fleet_view::read_all(read_freshness wanted)
 {
-    const time_point sent_at = boot_clock::now();
-    this->store.read("", [this, sent_at](std::optional<stored_range> range) {
-        this->on_read(std::move(range), sent_at);
+    const time_point proved_at =
+        wanted == read_freshness::newest ? boot_clock::now() : time_point{};
+    this->store.read("", wanted, [this, proved_at](std::optional<stored_range> range) {
+        this->on_read(std::move(range), proved_at);
     });
 }
 
-void fleet_view::on_read(std::optional<stored_range> range, time_point sent_at)
+void fleet_view::on_read(std::optional<stored_range> range, time_point proved_at)
 {
     if (!range) {
         this->record_store_result(false, last_failure().detail);
@@ -138,7 +140,7 @@
         }
     }
     this->revision = std::max(this->revision, range->revision);
-    this->freshness.record_proof(sent_at);
+    this->freshness.record_proof(proved_at);
     this->handlers.changed();
     this->fetch_changes();
 }
@@ -155,7 +157,7 @@
         this->follow(*source);
     }
     else if (this->revision == 0) {
-        this->read_all();
+        this->read_all(this->first_read_freshness);
     }
     else {
         this->watch_store();
@@ -209,7 +211,7 @@
     this->record_store_result(true, "");
     if (changes->is_history_lost) {
         log_line{"store_history_lost"}.add("revision", this->revision);
-        this->read_all();
+        this->read_all(read_freshness::newest);
         return;
     }
     for (const stored_item& item : changes->items) {
@@ -279,7 +281,7 @@
         this->source_choice->record_stale_node(from, now);
         this->followed.reset();
         if (reply.is_history_lost) {
-            this->read_all();
+            this->read_all(read_freshness::newest);
             return;
         }
         // The sender's proof applies to this node as well if this node's configuration is at least
@@ -306,7 +308,8 @@
 
 void fleet_view::read_configuration()
 {
-    this->store.read(this->configuration_key, [this](std::optional<stored_range> range) {
+    const auto newest = read_freshness::newest;
+    this->store.read(this->configuration_key, newest, [this](std::optional<stored_range> range) {
         this->wants_large_update = !range;
         this->record_store_result(range.has_value(), range ? "" : last_failure().detail);
         if (range) {
@@ -464,6 +467,7 @@
     }
     this->missing_since.erase(node);
     this->directory.put(*entry);
+    this->handlers.entry_written(node);
 }
 
 void fleet_view::apply_group(const stored_item& item)
--- a/src/mesh/fleet_view.hpp
+++ b/src/mesh/fleet_view.hpp
@@ -39,6 +39,8 @@
                            store_revision revision)>
             group_changed;
         std::function<void()> own_entry_lost;
+        /// Another node has written its entry, so it can be reached again.
+        std::function<void(const node_id&)> entry_written;
         std::function<void(const node_id&, const link_message&)> send;
         /// The replica has changed, so waiting followers can be answered.
         std::function<void()> changed;
@@ -48,7 +50,9 @@
                node_directory& known_vms, std::string configuration_store_key,
                fleet_keys store_keys, callbacks functions);
 
-    void start(const node_entry& own);
+    /// `first_read` may be stale only where a later proof is no hurry: a node that starts among
+    /// running ones serves its callers as soon as its first read proves the configuration.
+    void start(const node_entry& own, read_freshness first_read);
     void stop();
 
     /// The newest configuration known, or null before the first one.
@@ -74,9 +78,10 @@
     void receive(const node_id& from, const follow_reply_message& reply);
 
 private:
-    void read_all();
+    void read_all(read_freshness wanted);
     void read_configuration();
-    void on_read(std::optional<stored_range> range, time_point sent_at);
+    /// `proved_at` is the time at which the items were the newest, zero when it is unknown.
+    void on_read(std::optional<stored_range> range, time_point proved_at);
     void fetch_changes();
     void watch_store();
     void on_watch(std::optional<stored_changes> changes, time_point sent_at);
@@ -125,6 +130,7 @@
     std::string store_failure;
     /// Why the newest configuration in the store was rejected; empty when it was not.
     std::string configuration_rejection;
+    read_freshness first_read_freshness = read_freshness::newest;
     bool is_reachable = false;
     bool wants_large_update = false;
 };
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -89,6 +89,9 @@
                                      store_revision revision) {
         this->registration.on_group_changed(group, value, revision);
     };
+    functions.entry_written = [this](const node_id& node) {
+        this->requests.selector.record_reachable(node);
+    };
     functions.own_entry_lost = [this] { this->registration.on_entry_lost(); };
     functions.send = [this](const node_id& to, const link_message& message) {
         this->send(to, message);
@@ -172,6 +175,7 @@
     peer_listener::callbacks functions;
     functions.opened = [this](const node_id& from, const hello_message& hello,
                               const peer_listener::send_function& reply) {
+        this->requests.selector.record_reachable(from);
         if (this->requests.directory.find(from) == nullptr) {
             node_entry entry;
             entry.node = from;
@@ -227,7 +231,8 @@
     const node_entry own = this->own_entry();
     this->requests.directory.put(own);
     this->registration.start(own);
-    this->view.start(own);
+    this->view.start(own, this->options.is_first_start ? read_freshness::may_be_stale
+                                                       : read_freshness::newest);
     return true;
 }
 
--- a/src/mesh/mesh_node.hpp
+++ b/src/mesh/mesh_node.hpp
@@ -40,6 +40,8 @@
     std::chrono::milliseconds max_proof_age{4'700};
     /// Longest time from the stop signal to the end of the process.
     std::chrono::milliseconds stop_timeout{5'500};
+    /// Whether the whole fleet starts for the first time, before its callers.
+    bool is_first_start = false;
     /// Memory that the process may use.
     std::size_t memory_bytes = 256U << 20U;
     /// Store key of the operators' configuration.
--- a/src/mesh/node_registration.cpp
+++ b/src/mesh/node_registration.cpp
@@ -11,16 +11,15 @@
 
 using milliseconds = std::chrono::milliseconds;
 
-/// Time to live of a node's lease. It bounds how long the quota groups of a lost node stay without
-/// a holder, and how long holders continue while the store is unavailable. It is shorter than the
-/// 4.7 s for which API keys are trusted without the store.
-constexpr milliseconds lease_time_to_live{4'500};
+/// Time to live of the lease of a node's entry. Entries outlive an outage of the store of this
+/// length, so the fleet does not write them all again after it, and the calls of a large fleet are
+/// few. The entry of a lost node stays as long; requests avoid the node once it does not respond.
+constexpr milliseconds entry_time_to_live{15'000};
 
-/// Number of renewals per time to live. Two in a row may fail.
-constexpr int renewals_per_lease = 3;
-
-/// This node treats the lease as expired this much before the store does.
-constexpr milliseconds lease_margin{300};
+/// Time to live of the lease of quota groups. It bounds how long the quota groups of a lost node
+/// stay without a holder, and how long holders continue while the store is unavailable. It is
+/// shorter than the 4.7 s for which API keys are trusted without the store.
+constexpr milliseconds group_time_to_live{4'500};
 
 /// Retry backoff of failed calls. It is short enough that an expired entry is written again within
 /// two seconds after the store becomes available.
@@ -69,13 +68,18 @@
       handlers(std::move(functions)),
       timer(loop),
       commit_retry(first_retry_pause, longest_retry_pause),
-      lease_retry(first_retry_pause, longest_retry_pause)
+      entry_lease(
+          platform_store, entry_time_to_live,
+          {[this] { this->is_entry_written = false; }, [this] { this->is_entry_written = false; }}),
+      group_lease(
+          platform_store, group_time_to_live,
+          {[this] { this->claim_groups(boot_clock::now()); }, [this] { this->lose_groups(); }})
 {
 }
 
 std::string node_registration::group_value() const
 {
-    return this->self.node.value + ' ' + std::to_string(this->lease);
+    return this->self.node.value + ' ' + std::to_string(this->group_lease.id());
 }
 
 void node_registration::start(const node_entry& own)
@@ -84,7 +88,8 @@
     this->self = own;
     this->first_write_at = now + first_write_delay;
     this->vacant_since.fill(now + first_claim_delay);
-    this->request_lease();
+    this->entry_lease.set_wanted(true);
+    this->entry_lease.maintain(now);
     this->arm_timer();
 }
 
@@ -99,96 +104,29 @@
     this->write_entry();
 }
 
-void node_registration::request_lease()
-{
-    if (this->is_lease_call_open) {
-        return;
-    }
-    this->is_lease_call_open = true;
-    const time_point sent_at = boot_clock::now();
-    this->store.grant_lease(lease_time_to_live,
-                            [this, sent_at](std::optional<lease_grant> granted) {
-                                this->is_lease_call_open = false;
-                                this->on_lease_granted(granted, sent_at);
-                            });
-}
-
-void node_registration::on_lease_granted(std::optional<lease_grant> granted, time_point sent_at)
-{
-    if (!granted) {
-        this->lease_retry.record_failure(boot_clock::now());
-        this->next_renewal = this->lease_retry.next();
-        return;
-    }
-    this->lease_retry.record_success();
-    this->lease = granted->lease;
-    this->lease_time = granted->time_to_live;
-    this->lease_until = sent_at + granted->time_to_live - lease_margin;
-    this->next_renewal = sent_at + granted->time_to_live / renewals_per_lease;
-    this->is_entry_written = false;
-}
-
-void node_registration::renew()
-{
-    this->is_lease_call_open = true;
-    const time_point sent_at = boot_clock::now();
-    const store_lease renewed = this->lease;
-    this->store.renew_lease(renewed, [this, sent_at, renewed](lease_outcome outcome) {
-        this->is_lease_call_open = false;
-        if (renewed == this->lease) {
-            this->on_renewed(outcome, sent_at);
-        }
-    });
-}
-
-void node_registration::on_renewed(lease_outcome outcome, time_point sent_at)
+void node_registration::lose_groups()
 {
-    if (outcome == lease_outcome::ended) {
-        log_line{"lease_ended"}.add("lease", this->lease);
-        this->lose_lease();
-        this->request_lease();
-        return;
-    }
-    if (outcome == lease_outcome::unknown) {
-        this->lease_retry.record_failure(boot_clock::now());
-        this->next_renewal = this->lease_retry.next();
-        return;
-    }
-    this->lease_retry.record_success();
-    this->lease_until = sent_at + this->lease_time - lease_margin;
-    this->next_renewal = sent_at + this->lease_time / renewals_per_lease;
-}
-
-void node_registration::lose_lease()
-{
-    this->lease = 0;
-    this->lease_until = {};
-    this->is_entry_written = false;
     for (const std::size_t group : std::exchange(this->held_groups, {})) {
         this->handlers.group_lost(group);
     }
 }
 
-bool node_registration::is_lease_valid(time_point now) const
-{
-    return this->lease != 0 && now < this->lease_until;
-}
-
 bool node_registration::holds_group(std::size_t group) const
 {
-    return this->held_groups.contains(group) && this->is_lease_valid(boot_clock::now());
+    return this->held_groups.contains(group) && this->group_lease.is_valid(boot_clock::now());
 }
 
 void node_registration::write_entry()
 {
     const time_point now = boot_clock::now();
-    if (this->lease == 0 || this->is_writing_entry || now < this->first_write_at) {
+    if (this->entry_lease.id() == 0 || this->is_writing_entry || now < this->first_write_at) {
         return;
     }
     this->is_writing_entry = true;
     const node_entry written = this->self;
     commit_request request;
-    request.writes.push_back({this->keys.vm(written.node), written.to_text(), this->lease});
+    request.writes.push_back(
+        {this->keys.vm(written.node), written.to_text(), this->entry_lease.id()});
     this->store.commit(request, [this, written](commit_outcome outcome) {
         this->is_writing_entry = false;
         this->record_commit(outcome);
@@ -196,8 +134,7 @@
             this->is_entry_written = written == this->self;
         }
         else if (outcome == commit_outcome::lease_ended) {
-            this->lose_lease();
-            this->request_lease();
+            this->entry_lease.on_ended();
         }
     });
 }
@@ -233,7 +170,7 @@
     // The reply to a claim may have been lost, so the claim is recognised by its value here. The
     // lease in the value distinguishes it from a claim of an earlier process of this node.
     const bool is_current_claim =
-        value && *value == this->group_value() && this->lease != 0 && !this->is_stopping;
+        value && *value == this->group_value() && this->group_lease.id() != 0 && !this->is_stopping;
     if (is_current_claim) {
         this->held_groups.insert(group);
         return;
@@ -244,8 +181,7 @@
     // An earlier process of this node has certainly ended, so its groups are claimed without
     // waiting for its lease to expire.
     const bool is_from_earlier_process = value && this->holders[group] == this->self.node;
-    if (is_from_earlier_process && this->is_lease_valid(boot_clock::now()) && !this->is_stopping &&
-        !this->groups_in_claim.contains(group)) {
+    if (is_from_earlier_process && !this->is_stopping && !this->groups_in_claim.contains(group)) {
         this->claim(group, revision);
     }
     this->group_revisions[group] = value ? revision : 0;
@@ -266,7 +202,7 @@
 
 void node_registration::claim_groups(time_point now)
 {
-    if (this->is_stopping || !this->is_lease_valid(now)) {
+    if (this->is_stopping) {
         return;
     }
     for (std::size_t group = 0; group < quota_group_count; ++group) {
@@ -290,8 +226,14 @@
 
 void node_registration::claim(std::size_t group, store_revision expected)
 {
+    if (!this->group_lease.is_valid(boot_clock::now())) {
+        // The claims that are due are made once the lease is granted.
+        this->group_lease.set_wanted(true);
+        this->group_lease.maintain(boot_clock::now());
+        return;
+    }
     this->groups_in_claim.insert(group);
-    const store_lease used = this->lease;
+    const store_lease used = this->group_lease.id();
     commit_request request;
     request.conditions.push_back({this->keys.group(group), expected});
     request.writes.push_back({this->keys.group(group), this->group_value(), used});
@@ -299,7 +241,11 @@
         this->groups_in_claim.erase(group);
         this->record_commit(outcome);
         this->vacant_since[group] = boot_clock::now() + claim_pause;
-        if (outcome == commit_outcome::committed && used == this->lease && !this->is_stopping) {
+        if (outcome == commit_outcome::lease_ended && used == this->group_lease.id()) {
+            this->group_lease.on_ended();
+        }
+        if (outcome == commit_outcome::committed && used == this->group_lease.id() &&
+            !this->is_stopping) {
             this->holders[group] = this->self.node;
             this->held_groups.insert(group);
             log_line{"quota_group_held"}.add("group", group);
@@ -321,14 +267,12 @@
 void node_registration::maintain()
 {
     const time_point now = boot_clock::now();
-    if (!this->is_lease_call_open && now >= this->next_renewal) {
-        if (this->lease == 0) {
-            this->request_lease();
-        }
-        else {
-            this->renew();
-        }
+    this->entry_lease.maintain(now);
+    const bool needs_group_lease = !this->held_groups.empty() || !this->groups_in_claim.empty();
+    if (this->group_lease.is_valid(now)) {
+        this->group_lease.set_wanted(needs_group_lease);
     }
+    this->group_lease.maintain(now);
     if (!this->commit_retry.is_due(now)) {
         return;
     }
@@ -343,12 +287,13 @@
     this->is_stopping = true;
     this->self.service = {};
     commit_request request;
-    request.writes.push_back({this->keys.vm(this->self.node), this->self.to_text(), this->lease});
+    request.writes.push_back(
+        {this->keys.vm(this->self.node), this->self.to_text(), this->entry_lease.id()});
     for (const std::size_t group : std::exchange(this->held_groups, {})) {
         request.removals.push_back(this->keys.group(group));
         this->handlers.group_lost(group);
     }
-    if (this->lease != 0) {
+    if (this->entry_lease.id() != 0) {
         this->is_entry_written = true;
         this->store.commit(request, [this](commit_outcome outcome) {
             this->is_entry_written = outcome == commit_outcome::committed;
@@ -359,9 +304,8 @@
 void node_registration::finish_stop()
 {
     this->timer.cancel();
-    if (this->lease != 0) {
-        this->store.end_lease(this->lease);
-    }
+    this->entry_lease.end();
+    this->group_lease.end();
 }
 
 } // namespace dragonflyroad
--- a/src/mesh/node_registration.hpp
+++ b/src/mesh/node_registration.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "core/retry_backoff.hpp"
+#include "mesh/held_lease.hpp"
 #include "mesh/node_directory.hpp"
 #include "mesh/quota_coordinator.hpp"
 #include "mesh/shared_store.hpp"
@@ -31,10 +32,9 @@
     }
 };
 
-/// Maintains what this node holds in the store: its entry and its quota groups. All of these keys
-/// are attached to one lease, so the entry and the groups of a lost node expire together. A group
-/// is used only while the lease is certain to be valid, measured by a clock that counts suspended
-/// time.
+/// Maintains what this node holds in the store: its entry and its quota groups. The entry has a
+/// long lease. The groups have a short one, which only the nodes that hold groups ask for; a group
+/// is used only while that lease is certain to be valid.
 class node_registration {
 public:
     struct callbacks {
@@ -46,13 +46,13 @@
     node_registration(boost::asio::io_context& loop, shared_store& platform_store,
                       fleet_keys store_keys, callbacks functions);
 
-    /// Requests a lease, then writes the entry and claims vacant groups under it.
+    /// Writes the entry once its lease is granted, and claims vacant groups.
     void start(const node_entry& own);
     /// Writes the entry if it has changed.
     void publish(const node_entry& own);
     /// Releases the groups and publishes an entry without a service, so that no new work arrives.
     void begin_stop();
-    /// Ends the lease, which removes the entry.
+    /// Ends the leases, which removes the entry.
     void finish_stop();
 
     /// Handles a change of a group's item in the store; `value` is empty when it was removed.
@@ -67,12 +67,7 @@
     bool holds_group(std::size_t group) const;
 
 private:
-    void request_lease();
-    void on_lease_granted(std::optional<lease_grant> granted, time_point sent_at);
-    void renew();
-    void on_renewed(lease_outcome outcome, time_point sent_at);
-    void lose_lease();
-    bool is_lease_valid(time_point now) const;
+    void lose_groups();
     void write_entry();
     /// Updates the retry backoff of commits.
     void record_commit(commit_outcome outcome);
@@ -90,19 +85,15 @@
     callbacks handlers;
     boost::asio::steady_timer timer;
     node_entry self;
-    store_lease lease = 0;
-    time_point lease_until{};
-    time_point next_renewal{};
     time_point first_write_at{};
-    std::chrono::milliseconds lease_time{0};
     retry_backoff commit_retry;
-    retry_backoff lease_retry;
+    held_lease entry_lease;
+    held_lease group_lease;
     std::array<std::optional<node_id>, quota_group_count> holders;
     std::array<store_revision, quota_group_count> group_revisions{};
     std::array<time_point, quota_group_count> vacant_since{};
     std::set<std::size_t> held_groups;
     std::set<std::size_t> groups_in_claim;
-    bool is_lease_call_open = false;
     bool is_entry_written = false;
     bool is_writing_entry = false;
     bool is_stopping = false;
--- a/src/mesh/shared_store.hpp
+++ b/src/mesh/shared_store.hpp
@@ -63,6 +63,10 @@
     std::chrono::milliseconds time_to_live{0};
 };
 
+/// Whether a read returns the newest items, or may return those of some seconds ago, which the
+/// store serves from a replica at a tenth of the price.
+enum class read_freshness { newest, may_be_stale };
+
 /// Asynchronous interface of the platform's key-value store. Each callback is called once, on the
 /// event loop. When it receives no result, the reason is in last_failure().
 class shared_store {
@@ -75,7 +79,7 @@
     virtual ~shared_store() = default;
 
     /// Reads all items whose key begins with the prefix.
-    virtual void read(const std::string& prefix,
+    virtual void read(const std::string& prefix, read_freshness freshness,
                       std::function<void(std::optional<stored_range>)> done) = 0;
     /// Long-polls for changes after a revision: waits for the first one up to `wait`.
     virtual void watch(const std::string& prefix, store_revision after,
--- a/test/support/memory_shared_store.hpp
+++ b/test/support/memory_shared_store.hpp
@@ -38,7 +38,7 @@
             }));
     }
 
-    void read(const std::string& prefix,
+    void read(const std::string& prefix, dragonflyroad::read_freshness,
               std::function<void(std::optional<dragonflyroad::stored_range>)> done) override
     {
         this->post_to_loop([this, prefix, done = std::move(done)] {
