Count the calls of a repeated run as the repeats that they are

Change: a call whose id extends the id of an open run takes that run's share, so it is counted exactly and held back when there is no room. Other calls are counted by the share as before.

--- a/src/dispatch/upstream_retry_budget.hpp
+++ b/src/dispatch/upstream_retry_budget.hpp
@@ -31,9 +31,11 @@
 /// - The share of the slack is a token bucket that starts empty and whose capacity plus one
 ///   window's refill make up the share. A restarted or replaced node therefore adds nothing to what
 ///   its predecessor has used within the window.
-/// - A call counts as a repeat by the share of repeats among the runs that may have made it,
-///   because a repeated run makes its calls again.
-/// The cost is that the slack is not available to a node in the first second or two.
+/// - A repeated run makes its calls again, and these arrive as repeats. A call counts as a repeat
+///   like the run that makes it; where that run is unknown, by the share of repeats among the runs
+///   that may be it.
+/// The cost is that the slack is not available to a node in the first second or two, and that a
+/// repeated run fails when the services that it calls have no room left.
 /// Not synchronised.
 class upstream_retry_budget {
 public:
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -92,8 +92,8 @@
 
 void dispatched_request::start()
 {
-    if (!this->accepted.rank.is_new_request && this->owner.retry_share_of_calls) {
-        this->accepted.retry_share = this->owner.retry_share_of_calls();
+    if (!this->accepted.rank.is_new_request && this->owner.retry_share_of_call) {
+        this->accepted.retry_share = this->owner.retry_share_of_call(this->accepted.id);
     }
     if (!this->accepted.needs_quota) {
         this->begin_round();
--- a/src/mesh/dispatcher.hpp
+++ b/src/mesh/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -66,8 +67,12 @@
     std::function<void(const node_id&)> reconnect;
     /// Called when a call that the upstream on this VM made through this node has failed.
     std::function<void()> on_nested_call_failed;
-    /// Probability that a call which the upstream on this VM makes now belongs to a repeated run.
-    std::function<double()> retry_share_of_calls;
+    /// Time by which this node's requests must be answered because it stops; zero while it does
+    /// not.
+    time_point stop_at{};
+    /// Probability that a call which the upstream on this VM makes, with this id, belongs to a
+    /// repeated run.
+    std::function<double(std::string_view call_id)> retry_share_of_call;
 
 private:
     std::shared_ptr<dispatched_request> find(run_id id) const;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -76,7 +76,9 @@
         }
     };
     this->requests.on_nested_call_failed = [this] { this->runner.record_nested_call_failure(); };
-    this->requests.retry_share_of_calls = [this] { return this->runner.retry_share_of_runs(); };
+    this->requests.retry_share_of_call = [this](std::string_view call_id) {
+        return this->runner.retry_share_of_call(call_id);
+    };
     this->runner.on_change([this] { this->publish(); });
     this->register_metrics();
 }
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -330,7 +330,7 @@
                                            now);
 }
 
-double upstream_runner::retry_share_of_runs() const
+double upstream_runner::retry_share_of_call(std::string_view call_id) const
 {
     double retries = 0;
     std::size_t open = 0;
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -75,9 +75,10 @@
     /// Reports the outcome of each open run as unknown, because this process is about to end.
     void fail_open_runs();
 
-    /// Share of repeats among the open runs, which is the probability that a call made by the
-    /// upstream belongs to a repeated run.
-    double retry_share_of_runs() const;
+    /// Probability that a call which the upstream makes now belongs to a repeated run. A call whose
+    /// id extends that of an open run, separated by a dot, belongs to that run; for other calls it
+    /// is the share of repeats among the open runs.
+    double retry_share_of_call(std::string_view call_id) const;
 
     /// Slots that are offered or in use by runs.
     std::size_t busy_slot_count() const { return this->slots_in_use; }
