Let one node of the fleet watch the store

Change: the first node of the fleet in hash order watches; the first node of each other data centre follows it with a shorter poll, and the others follow the first of their data centre. A proof is accepted up to 1.2 s instead of 1.1 s, the duration of a watch and a relay's poll.

Result: a test plays 200 nodes in five data centres: one watcher, at most two hops.

--- a/src/dispatch/change_source_selector.cpp
+++ b/src/dispatch/change_source_selector.cpp
@@ -27,6 +27,19 @@
     return found != this->stale_until.end() && now < found->second;
 }
 
+std::optional<node_id> change_source_selector::first_usable(const std::vector<node_id>& nodes,
+                                                            time_point now) const
+{
+    const node_id* first = nullptr;
+    for (const node_id& node : nodes) {
+        const bool is_usable = node == this->self || !this->is_skipped(node, now);
+        if (is_usable && (first == nullptr || selection_order(node) < selection_order(*first))) {
+            first = &node;
+        }
+    }
+    return first == nullptr ? std::nullopt : std::optional{*first};
+}
+
 std::optional<node_id> change_source_selector::choose(const std::vector<node_id>& centre_nodes,
                                                       const std::vector<node_id>& all_nodes,
                                                       random_engine& random, time_point now)
@@ -35,15 +48,12 @@
     if (std::exchange(this->prefers_store_next, false) && may_use_store) {
         return std::nullopt;
     }
-    const node_id* first = nullptr;
-    for (const node_id& node : centre_nodes) {
-        const bool is_usable = node == this->self || !this->is_skipped(node, now);
-        if (is_usable && (first == nullptr || selection_order(node) < selection_order(*first))) {
-            first = &node;
-        }
+    if (const auto first = this->first_usable(centre_nodes, now); first && *first != this->self) {
+        return first;
     }
-    if (first != nullptr && *first != this->self) {
-        return *first;
+    // This node is the first of its data centre.
+    if (const auto first = this->first_usable(all_nodes, now); first && *first != this->self) {
+        return first;
     }
     if (may_use_store) {
         return std::nullopt;
--- a/src/dispatch/change_source_selector.hpp
+++ b/src/dispatch/change_source_selector.hpp
@@ -10,12 +10,14 @@
 
 namespace dragonflyroad {
 
-/// Selects the source from which a node receives configuration changes. In each data centre one
-/// node watches the store and the others follow that node, so the number of calls to the store
-/// grows with the number of data centres and not with the number of nodes. The watching node is the
-/// one with the lowest hash of its name. A node that is stale or does not respond is skipped for a
-/// while and the next one in hash order is followed instead. A watching node that cannot reach the
-/// store follows a random other node of the fleet. Not synchronised.
+/// Selects the source from which a node receives configuration changes. The nodes are ordered by a
+/// hash of their names. The first node of the fleet watches the store, the first node of each other
+/// data centre follows it, and the rest follow the first node of their data centre. The number of
+/// calls to the store therefore does not grow with the fleet, and one stream of changes crosses to
+/// each data centre. A node that is stale or does not respond is skipped for a while and the next
+/// one is followed instead. Nodes follow only earlier ones, so they never follow each other in a
+/// circle. A watching node that cannot reach the store follows a random other node. Not
+/// synchronised.
 class change_source_selector {
 public:
     explicit change_source_selector(node_id node) : self(std::move(node)) {}
@@ -37,6 +39,7 @@
     void record_store_success() { this->store_failed_until = {}; }
 
 private:
+    std::optional<node_id> first_usable(const std::vector<node_id>& nodes, time_point now) const;
     bool is_skipped(const node_id& node, time_point now) const;
 
     node_id self;
--- a/src/mesh/fleet_view.cpp
+++ b/src/mesh/fleet_view.cpp
@@ -26,12 +26,15 @@
 
 /// Long-poll wait requested from a followed node, and the time allowed for its reply beyond that.
 constexpr milliseconds follow_wait{400};
+
+/// The same for a node that others follow in turn, so that the proofs they get are fresh enough.
+constexpr milliseconds relay_follow_wait{250};
 constexpr milliseconds follow_reply_margin{250};
 
 /// Greatest proof age at which a followed node is trusted; a node with an older proof may be
-/// partitioned from the store. Together with the poll time (0.65 s) a change still arrives within
-/// 2 s.
-constexpr milliseconds max_followed_proof_age{1'100};
+/// partitioned from the store. It exceeds the duration of a watch and of a relay's poll. Together
+/// with the poll time (0.43 s) a change still arrives within 2 s.
+constexpr milliseconds max_followed_proof_age{1'200};
 
 /// While the newest proof is older than this, this node is assumed to miss changes, so an entry
 /// that is missing here is no evidence that its node is gone.
@@ -147,12 +150,8 @@
 
 void fleet_view::fetch_changes()
 {
-    std::vector<node_id> all;
-    for (const auto& [node, entry] : this->directory.all()) {
-        all.push_back(node);
-    }
-    const auto source =
-        this->source_choice->choose(this->centre_nodes(), all, this->random, boot_clock::now());
+    const auto source = this->source_choice->choose(this->centre_nodes(), this->live_nodes(),
+                                                    this->random, boot_clock::now());
     if (source) {
         this->follow(*source);
     }
@@ -244,9 +243,12 @@
     request.nonce = this->nonce;
     request.after = this->revision;
     request.configuration = this->table == nullptr ? 0 : this->table->revision();
-    request.wait = follow_wait;
+    const node_entry* source = this->directory.find(node);
+    const bool is_relay = source != nullptr && source->centre != this->self.centre;
+    const milliseconds wait = is_relay ? relay_follow_wait : follow_wait;
+    request.wait = wait;
     request.wants_large_update = this->wants_large_update;
-    this->fetch_timer.expires_after(follow_wait + follow_reply_margin);
+    this->fetch_timer.expires_after(wait + follow_reply_margin);
     this->fetch_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
             this->on_follow_timeout();
--- a/test/correctness/test_dispatch.cpp
+++ b/test/correctness/test_dispatch.cpp
@@ -8,6 +8,8 @@
 
 #include <deque>
 #include <doctest/doctest.h>
+#include <map>
+#include <string>
 
 using namespace dragonflyroad;
 using namespace std::chrono_literals;
@@ -267,6 +269,44 @@
     CHECK(new_watchers == 1);
 }
 
+// Guards against calls to the store that grow with the fleet: they were the largest price on every
+// day of the large site while one node of each data centre watched.
+TEST_CASE("one node of the fleet watches the store and changes reach every node over at most two")
+{
+    constexpr std::size_t centres = 5;
+    constexpr std::size_t nodes_per_centre = 40;
+    std::vector<node_id> fleet;
+    std::vector<std::vector<node_id>> members(centres);
+    for (std::size_t index = 0; index < centres * nodes_per_centre; ++index) {
+        fleet.emplace_back("node-" + std::to_string(index));
+        members[index % centres].push_back(fleet.back());
+    }
+    random_engine random{1};
+    std::map<node_id, std::optional<node_id>> sources;
+    std::map<node_id, std::size_t> followers;
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        change_source_selector choice{fleet[index]};
+        const auto source = choice.choose(members[index % centres], fleet, random, start);
+        sources[fleet[index]] = source;
+        if (source) {
+            ++followers[*source];
+        }
+    }
+    std::size_t watchers = 0;
+    for (const auto& [node, source] : sources) {
+        watchers += source ? 0 : 1;
+        std::size_t hops = 0;
+        for (auto next = source; next && hops <= 2; next = sources.at(*next)) {
+            ++hops;
+        }
+        CHECK(hops <= 2);
+    }
+    CHECK(watchers == 1);
+    for (const auto& [node, count] : followers) {
+        CHECK(count <= nodes_per_centre + centres);
+    }
+}
+
 // Guards against a node that gets no changes because its calls to the store fail and its data
 // centre has no other node to follow.
 TEST_CASE("a watcher that cannot reach the store follows another node until its next attempt")
