Start no request that cannot end before a planned stop does

New requests were taken for 3.2 s, and waiting ones were handed over up to the end.

Change: new requests are refused from 2.8 s on, and a request that was not handed over is refused as not run as soon as its expected run would not end before the stop does.

--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -347,7 +347,7 @@
 
 void dispatched_request::evaluate_replies()
 {
-    if (this->is_done || this->round == 0) {
+    if (this->is_done || this->round == 0 || this->refuse_if_too_late_to_start()) {
         return;
     }
     const auto received = this->received_replies();
@@ -561,6 +561,17 @@
     }
 }
 
+bool dispatched_request::refuse_if_too_late_to_start()
+{
+    const time_point stop_at = this->owner.stop_at;
+    if (stop_at == time_point{} || this->runs_started > 0 ||
+        boot_clock::now() + this->expected_run() < stop_at) {
+        return false;
+    }
+    this->answer_before_stop();
+    return true;
+}
+
 void dispatched_request::answer_before_stop()
 {
     if (this->is_done) {
@@ -591,6 +602,9 @@
         this->end_early(refusal_reason::deadline_exceeded, refusal_reason::queue_timeout);
         return;
     }
+    if (this->refuse_if_too_late_to_start()) {
+        return;
+    }
     if (this->round != 0) {
         if (now > this->last_reply_at + no_reply_timeout && this->received_replies().empty()) {
             this->fail_round(refusal_reason::no_healthy_upstream, ran::no,
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -95,6 +95,8 @@
     void hand_over(const node_id& vm);
     void continue_after_decline();
     void on_tick();
+    /// Refuses the request if it was not handed over and could not end before this node stops.
+    bool refuse_if_too_late_to_start();
     void arm_tick();
     /// Whether another run may start: the request is repeatable, has runs left and is expected to
     /// end before its deadline. If so, counts the retry in the metrics.
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -25,9 +25,10 @@
 /// failed checks, so requests still arrive until then.
 constexpr milliseconds min_stop_time{2'600};
 
-/// Time after the start of the stop from which new requests on persistent connections are refused:
-/// they could not complete before the process must end.
-constexpr milliseconds refuse_new_requests_after{3'200};
+/// Time after the start of the stop from which new requests on persistent connections are refused.
+/// Callers have been directed to other nodes by then, and a request that is taken later may not
+/// complete before the process must end.
+constexpr milliseconds refuse_new_requests_after{2'800};
 
 constexpr milliseconds stop_check_interval{100};
 
@@ -395,6 +396,7 @@
     this->stopped_callback = std::move(stopped);
     this->stop_started_at = boot_clock::now();
     this->stop_deadline = this->stop_started_at + this->options.stop_timeout;
+    this->requests.stop_at = this->stop_deadline;
     this->callers.begin_stop();
     this->runner.begin_stop();
     this->requests.directory.put(this->own_entry());
