--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -56,6 +56,9 @@
 constexpr milliseconds quota_retry_pause{40};
 constexpr milliseconds quota_wait_limit{300};
 
+/// Shortest pause before upstreams on probation are asked again, while every other one declines.
+constexpr milliseconds min_probation_pause{50};
+
 /// Number of rounds after which VMs that already had the request are not tried again; prevents
 /// endless loops between VMs that do not run it.
 constexpr std::size_t max_rounds = 12;
@@ -187,6 +190,8 @@
     this->last_reply_at = boot_clock::now();
     ++this->rounds_started;
     this->was_overloaded = false;
+    this->on_probation.clear();
+    this->accepts_probation = false;
     this->declined = this->attempted_vms;
     this->released_vms.clear();
     this->offer_hold_until = {};
@@ -242,6 +247,7 @@
     message.is_repeatable = this->accepted.route.is_repeatable();
     message.retry_share =
         this->may_have_been_sent || !this->runs.empty() ? 1.0 : this->accepted.retry_share;
+    message.accepts_probation = this->accepts_probation;
     message.start_within = this->start_within();
     message.failure_cost = this->failure_cost();
     message.expected_run = this->expected_run();
@@ -284,6 +290,10 @@
     this->last_reply_at = boot_clock::now();
     this->reservations.erase(from);
     this->declined.insert(from);
+    if (message.reason == decline_reason::on_probation) {
+        this->on_probation.insert(from);
+        this->shortest_wait = std::min(this->shortest_wait.value_or(message.wait), message.wait);
+    }
     if (message.reason == decline_reason::overloaded) {
         this->was_overloaded = true;
         // The decline of a reservation that expired in the queue carries no wait estimate.
@@ -312,11 +322,34 @@
         this->reserve_more(additional_reservations)) {
         return;
     }
+    if (this->ask_upstreams_on_probation()) {
+        return;
+    }
     this->fail_round(this->was_overloaded ? refusal_reason::overload_shed
                                           : refusal_reason::no_healthy_upstream,
                      ran::no, "every upstream declined");
 }
 
+bool dispatched_request::ask_upstreams_on_probation()
+{
+    if (this->on_probation.empty() || this->accepts_probation) {
+        return false;
+    }
+    for (const node_id& vm : std::exchange(this->on_probation, {})) {
+        this->declined.erase(vm);
+    }
+    const milliseconds pause =
+        std::max(this->shortest_wait.value_or(min_probation_pause), min_probation_pause);
+    if (pause < this->start_within()) {
+        this->next_reserve_at = boot_clock::now() + pause;
+        this->last_reply_at = this->next_reserve_at;
+        return true;
+    }
+    // An upstream that fails most requests serves more callers than a refusal.
+    this->accepts_probation = true;
+    return this->reserve_more(additional_reservations);
+}
+
 std::vector<reservation_reply> dispatched_request::received_replies() const
 {
     std::vector<reservation_reply> received;
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -94,6 +94,9 @@
     void release_offers(const std::optional<node_id>& kept);
     void hand_over(const node_id& vm);
     void continue_after_decline();
+    /// Arranges that the VMs whose upstream is on probation are asked again: after a pause if there
+    /// is time, otherwise at once and to run the request in any case. False when there are none.
+    bool ask_upstreams_on_probation();
     void on_tick();
     /// Refuses the request if it was not handed over and could not end before this node stops.
     bool refuse_if_too_late_to_start();
@@ -146,6 +149,10 @@
     /// Whether the quota's holder counted the request.
     bool is_quota_charged = false;
     bool was_overloaded = false;
+    /// VMs that declined in this round because their upstream is on probation.
+    std::set<node_id> on_probation;
+    /// Whether those VMs are asked too: every other one has declined.
+    bool accepts_probation = false;
     bool is_done = false;
 };
 
--- a/src/mesh/http_client_pool.cpp
+++ b/src/mesh/http_client_pool.cpp
@@ -277,6 +277,7 @@
     }
     --this->pool->open_requests;
     this->pool->receiving_bytes -= this->response_bytes;
+    const bool was_pooled = this->idle_since != time_point{};
     const bool is_reusable = end == client_exchange_outcome::answered && this->is_written &&
                              this->response.keeps_connection && this->buffer.empty();
     if (is_reusable) {
@@ -296,7 +297,7 @@
         }
         this->close();
     }
-    function({end, std::move(this->response), std::move(detail)});
+    function({end, std::move(this->response), std::move(detail), was_pooled});
 }
 
 void client_connection::cancel()
--- a/src/mesh/http_client_pool.hpp
+++ b/src/mesh/http_client_pool.hpp
@@ -34,6 +34,8 @@
     client_exchange_outcome end = client_exchange_outcome::broken;
     http_response response;
     std::string detail;
+    /// Whether the request was sent on a connection that had carried others.
+    bool was_pooled = false;
 };
 
 /// One request to an HTTP peer.
--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -149,6 +149,7 @@
     else if constexpr (std::is_same_v<type, reserve_message>) {
         archive(message.id), archive(message.service), archive(message.organisation);
         archive(message.rank), archive(message.is_repeatable), archive(message.retry_share);
+        archive(message.accepts_probation);
         archive(message.start_within);
         archive(message.failure_cost), archive(message.expected_run);
     }
--- a/src/mesh/link_message.hpp
+++ b/src/mesh/link_message.hpp
@@ -41,6 +41,8 @@
     /// Probability that the request counts as a repeat in the retry budget: 1 when an upstream was
     /// sent this request before, otherwise the probability that a repeated run has made this call.
     double retry_share = 0;
+    /// Whether an upstream on probation may be offered: every other one has declined.
+    bool accepts_probation = false;
     /// Time within which the run must start: for a new request, so that the answer meets the
     /// latency objective; for a call made by an upstream or a retry, so that it meets the deadline.
     std::chrono::milliseconds start_within{0};
@@ -64,7 +66,14 @@
     std::chrono::milliseconds cost{0};
 };
 
-enum class decline_reason { overloaded, no_upstream, stopping, retry_budget_exhausted };
+enum class decline_reason {
+    overloaded,
+    no_upstream,
+    stopping,
+    retry_budget_exhausted,
+    /// The upstream fails most requests at once; see probation.
+    on_probation
+};
 
 /// Reply to a reservation that is rejected or no longer kept.
 struct reservation_declined_message {
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -82,6 +82,7 @@
             this->upstream_retries = upstream_retry_budget{this->service_retry_bound, now};
         }
         this->health = {};
+        this->failing = {};
         this->connect_backoff_until = {};
         this->pool.close_idle();
     }
@@ -247,6 +248,10 @@
     entry->key = {from, message.id};
     entry->ticket = ++this->last_ticket;
     entry->reservation = message;
+    if (this->failing.is_active() && !message.accepts_probation) {
+        this->reserve_on_probation(entry);
+        return;
+    }
     if (this->slots_in_use < this->max_slots_in_use() && this->queue.size() == 0) {
         this->runs[entry->key] = entry;
         this->tickets[entry->ticket] = entry;
@@ -269,6 +274,56 @@
     this->arm_timer();
 }
 
+void upstream_runner::reserve_on_probation(const run_pointer& entry)
+{
+    const time_point now = boot_clock::now();
+    if (!this->failing.admits(entry->reservation.is_repeatable, now) ||
+        this->slots_in_use >= this->max_slots_in_use()) {
+        this->reply_to(entry->key.first,
+                       reservation_declined_message{entry->key.second, decline_reason::on_probation,
+                                                    this->failing.time_to_next_trial(now)});
+        return;
+    }
+    this->failing.begin_trial();
+    entry->is_trial = true;
+    this->runs[entry->key] = entry;
+    this->tickets[entry->ticket] = entry;
+    this->offer(entry);
+}
+
+void upstream_runner::decline_waiting(decline_reason reason)
+{
+    for (const auto& [key, entry] : std::map{this->runs}) {
+        if (entry->state == stage::waiting) {
+            this->queue.remove(entry->ticket, boot_clock::now());
+            this->decline(entry, reason);
+        }
+    }
+}
+
+void upstream_runner::record_fast_failure(const run_pointer& entry, bool is_rejection,
+                                          time_point now)
+{
+    const bool was_active = this->failing.is_active();
+    // Runs that were sent before the probation say nothing about the trials.
+    if (was_active && !entry->is_trial) {
+        return;
+    }
+    if (is_rejection) {
+        this->failing.record_rejection(now);
+    }
+    else {
+        this->failing.record_fast_failure(now);
+    }
+    if (!was_active && this->failing.is_active()) {
+        log_line{"probation"}
+            .add("upstream", this->reports.current() ? this->reports.current()->id : "")
+            .add("request", entry->request_id)
+            .add("waiting", this->queue.size());
+        this->decline_waiting(decline_reason::on_probation);
+    }
+}
+
 void upstream_runner::offer(const run_pointer& entry)
 {
     const time_point now = boot_clock::now();
@@ -292,13 +347,17 @@
     if (entry->state == stage::offered) {
         this->upstream_retries.release(entry->reservation.retry_share);
         --this->slots_in_use;
+        if (entry->is_trial) {
+            this->failing.end_trial();
+        }
     }
 }
 
 void upstream_runner::offer_next()
 {
     const time_point now = boot_clock::now();
-    while (this->accepts_work(now) && this->slots_in_use < this->max_slots_in_use()) {
+    while (this->accepts_work(now) && !this->failing.is_active() &&
+           this->slots_in_use < this->max_slots_in_use()) {
         const auto ticket = this->queue.pop(now);
         if (!ticket) {
             return;
@@ -335,10 +394,15 @@
     double retries = 0;
     std::size_t open = 0;
     for (const auto& [key, entry] : this->runs) {
-        if (entry->state == stage::running) {
-            retries += entry->reservation.retry_share;
-            ++open;
+        if (entry->state != stage::running) {
+            continue;
         }
+        const std::string& id = entry->request_id;
+        if (!id.empty() && call_id.starts_with(id) && call_id.substr(id.size()).starts_with('.')) {
+            return entry->reservation.retry_share;
+        }
+        retries += entry->reservation.retry_share;
+        ++open;
     }
     return open == 0 ? 0 : retries / static_cast<double>(open);
 }
@@ -438,9 +502,14 @@
         this->connect_backoff_until = now + connect_backoff;
     }
     const std::string detail = result.detail;
+    // A connection that the upstream had dropped while it was idle is no evidence of a fault.
+    const bool may_be_stale = result.end == client_exchange_outcome::broken && result.was_pooled;
     link_message outcome = this->classify_result(entry, std::move(result));
     if (!entry->is_cancelled) {
-        this->record_outcome(entry, outcome);
+        this->record_outcome(entry, outcome, may_be_stale);
+    }
+    if (entry->is_trial) {
+        this->failing.end_trial();
     }
     const auto* answer = std::get_if<response_message>(&outcome);
     log_line{"run_end"}
@@ -495,7 +564,8 @@
     this->upstream_changed();
 }
 
-void upstream_runner::record_outcome(const run_pointer& entry, const link_message& outcome)
+void upstream_runner::record_outcome(const run_pointer& entry, const link_message& outcome,
+                                     bool may_be_stale)
 {
     const time_point now = boot_clock::now();
     const auto* answer = std::get_if<response_message>(&outcome);
@@ -507,9 +577,16 @@
         }
         if (answer == nullptr || now > this->last_call_failure_at + call_failure_window) {
             this->health.record_failure(now);
+            const auto elapsed = milliseconds_between(entry->started_at, now);
+            if (!may_be_stale && is_fast_failure(elapsed, entry->reservation.expected_run)) {
+                const auto* failed = std::get_if<failed_message>(&outcome);
+                this->record_fast_failure(
+                    entry, failed != nullptr && failed->kind == run_failure::refused, now);
+            }
         }
         return;
     }
+    this->failing.record_success(entry->is_trial);
     this->health.record_success(now, answer->elapsed, entry->reservation.expected_run);
     const double typical = static_cast<double>(this->typical_run.count()) * (1 - ewma_weight) +
                            static_cast<double>(answer->elapsed.count()) * ewma_weight;
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "dispatch/check_in_tracker.hpp"
+#include "dispatch/probation.hpp"
 #include "dispatch/upstream_health.hpp"
 #include "dispatch/upstream_retry_budget.hpp"
 #include "dispatch/work_queue.hpp"
@@ -100,6 +101,8 @@
         time_point deadline{};
         time_point forget_at{};
         bool is_cancelled = false;
+        /// The request whose outcome decides whether the upstream stays on probation.
+        bool is_trial = false;
         std::string request_id;
         std::shared_ptr<client_connection> connection;
         std::optional<link_message> outcome;
@@ -119,6 +122,11 @@
     void start_run(const node_id& from, const run_message& message);
     void cancel(const run_key& key);
     void offer(const run_pointer& entry);
+    /// Decides on a reservation while the upstream is on probation: offers a slot for the next
+    /// trial or declines.
+    void reserve_on_probation(const run_pointer& entry);
+    void decline_waiting(decline_reason reason);
+    void record_fast_failure(const run_pointer& entry, bool is_rejection, time_point now);
     /// Frees the slot and the retry budget that an offer holds.
     void withdraw_offer(const run_pointer& entry);
     void offer_next();
@@ -130,7 +138,7 @@
                                            const run_message& message) const;
     void on_exchange_end(const run_pointer& entry, client_exchange_result result);
     link_message classify_result(const run_pointer& entry, client_exchange_result result);
-    void record_outcome(const run_pointer& entry, const link_message& outcome);
+    void record_outcome(const run_pointer& entry, const link_message& outcome, bool may_be_stale);
     void handle_misdirected_request(const client_exchange_result& result);
     /// False when there is no link to the node.
     bool reply_to(const node_id& node, const link_message& message);
@@ -150,6 +158,7 @@
     http_client_pool pool;
     check_in_tracker reports;
     upstream_health health;
+    probation failing;
     service_retry_limit service_retry_bound;
     upstream_retry_budget upstream_retries;
     upstream_count_function upstream_count;
