Do not take the resets of a failing upstream for idle connections

Change: only a reset after 200 ms of idleness counts, and it is forgotten when a connection in use is reset within 1.5 s. A reset that cannot be that of an idle connection counts for the probation.

--- a/src/dispatch/idle_reuse_limit.cpp
+++ b/src/dispatch/idle_reuse_limit.cpp
@@ -13,8 +13,27 @@
 /// connections early for some seconds at a time, and opening a new connection costs only 1 ms.
 constexpr std::chrono::seconds drop_retention{20};
 
+/// Shortest idle time after which a reset is taken for that of an idle connection. Upstreams that
+/// forget idle connections do so after a few hundred milliseconds at the earliest.
+constexpr std::chrono::milliseconds min_stale_idle{200};
+
+/// Resets within this time of a reset on a connection in use have the same cause.
+constexpr std::chrono::milliseconds same_fault_time{1'500};
+
 } // namespace
 
+bool idle_reuse_limit::may_be_stale(time_point idle_since, time_point now)
+{
+    return idle_since != time_point{} && now >= idle_since + min_stale_idle;
+}
+
+void idle_reuse_limit::record_fault(time_point now)
+{
+    if (now < this->learned_at + same_fault_time) {
+        this->forget_at = {};
+    }
+}
+
 void idle_reuse_limit::record_stale_connection(time_point idle_since, time_point now)
 {
     const auto idle_for = milliseconds_between(idle_since, now);
@@ -22,6 +41,7 @@
     this->shortest_dropped_idle =
         is_known ? std::min(this->shortest_dropped_idle, idle_for) : idle_for;
     this->forget_at = now + drop_retention;
+    this->learned_at = now;
 }
 
 bool idle_reuse_limit::may_reuse(time_point idle_since, time_point now) const
--- a/src/mesh/http_client_pool.cpp
+++ b/src/mesh/http_client_pool.cpp
@@ -261,10 +261,9 @@
     this->finish(client_exchange_outcome::answered, "");
 }
 
-bool client_connection::is_stale_connection_error(client_exchange_outcome end) const
+bool client_connection::is_reset_at_once(client_exchange_outcome end) const
 {
-    return end == client_exchange_outcome::broken && this->idle_since != time_point{} &&
-           this->buffer.empty() &&
+    return end == client_exchange_outcome::broken && this->buffer.empty() &&
            boot_clock::now() < this->request_started_at + stale_connection_error_time;
 }
 
@@ -277,7 +276,9 @@
     }
     --this->pool->open_requests;
     this->pool->receiving_bytes -= this->response_bytes;
-    const bool was_pooled = this->idle_since != time_point{};
+    const bool is_reset = this->is_reset_at_once(end);
+    const bool was_stale =
+        is_reset && idle_reuse_limit::may_be_stale(this->idle_since, this->request_started_at);
     const bool is_reusable = end == client_exchange_outcome::answered && this->is_written &&
                              this->response.keeps_connection && this->buffer.empty();
     if (is_reusable) {
@@ -291,13 +292,16 @@
         this->pool->add_idle(self);
     }
     else {
-        if (this->is_stale_connection_error(end)) {
+        if (was_stale) {
             this->pool->reuse_limit.record_stale_connection(this->idle_since,
                                                             this->request_started_at);
         }
+        else if (is_reset) {
+            this->pool->reuse_limit.record_fault(this->request_started_at);
+        }
         this->close();
     }
-    function({end, std::move(this->response), std::move(detail), was_pooled});
+    function({end, std::move(this->response), std::move(detail), was_stale});
 }
 
 void client_connection::cancel()
--- a/src/mesh/http_client_pool.hpp
+++ b/src/mesh/http_client_pool.hpp
@@ -34,8 +34,9 @@
     client_exchange_outcome end = client_exchange_outcome::broken;
     http_response response;
     std::string detail;
-    /// Whether the request was sent on a connection that had carried others.
-    bool was_pooled = false;
+    /// Whether the request failed at once on a connection that had been idle, so that the peer may
+    /// have closed the connection before.
+    bool was_stale = false;
 };
 
 /// One request to an HTTP peer.
@@ -118,8 +119,8 @@
     /// Whether the open responses exceed the pool's limit and this one has more than its share.
     bool exceeds_receiving_limit() const;
     void finish(client_exchange_outcome end, std::string detail);
-    /// Whether a request failed because the peer had already closed this pooled connection.
-    bool is_stale_connection_error(client_exchange_outcome end) const;
+    /// Whether a request failed at once without any response.
+    bool is_reset_at_once(client_exchange_outcome end) const;
     void arm_timer(time_point at);
     void close();
 
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -503,7 +503,7 @@
     }
     const std::string detail = result.detail;
     // A connection that the upstream had dropped while it was idle is no evidence of a fault.
-    const bool may_be_stale = result.end == client_exchange_outcome::broken && result.was_pooled;
+    const bool may_be_stale = result.was_stale;
     link_message outcome = this->classify_result(entry, std::move(result));
     if (!entry->is_cancelled) {
         this->record_outcome(entry, outcome, may_be_stale);
--- a/test/correctness/test_dispatch.cpp
+++ b/test/correctness/test_dispatch.cpp
@@ -228,6 +228,23 @@
     CHECK(patience.may_reuse(start + 59s, start + 60s));
 }
 
+// Guards against a new connection for nearly every request after an upstream has failed for a
+// second: its resets were taken for those of idle connections (observed in kerlann-atelier,
+// quiet-1: 449 of 906 connections were opened for this reason).
+TEST_CASE("resets of a failing upstream do not limit the reuse of connections")
+{
+    CHECK_FALSE(idle_reuse_limit::may_be_stale({}, start));
+    CHECK_FALSE(idle_reuse_limit::may_be_stale(start, start + 20ms));
+    CHECK(idle_reuse_limit::may_be_stale(start, start + 300ms));
+    idle_reuse_limit patience;
+    patience.record_stale_connection(start, start + 300ms);
+    patience.record_fault(start + 400ms);
+    CHECK(patience.may_reuse(start, start + 1400ms));
+    patience.record_stale_connection(start + 10s, start + 10'300ms);
+    patience.record_fault(start + 15s);
+    CHECK_FALSE(patience.may_reuse(start + 15s, start + 15'200ms));
+}
+
 // Guards against withdrawn keys that stay valid on a node that was suspended or cannot reach the
 // store.
 TEST_CASE("a currency proof expires by its own age only")
