--- a/src/dispatch/change_source_selector.cpp
+++ b/src/dispatch/change_source_selector.cpp
@@ -48,11 +48,11 @@
     if (std::exchange(this->prefers_store_next, false) && may_use_store) {
         return std::nullopt;
     }
-    if (const auto first = this->first_usable(centre_nodes, now); first && *first != this->self) {
+    if (auto first = this->first_usable(centre_nodes, now); first && *first != this->self) {
         return first;
     }
     // This node is the first of its data centre.
-    if (const auto first = this->first_usable(all_nodes, now); first && *first != this->self) {
+    if (auto first = this->first_usable(all_nodes, now); first && *first != this->self) {
         return first;
     }
     if (may_use_store) {
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -298,8 +298,9 @@
     inputs.table = this->view.configuration();
     inputs.is_current = this->view.proof().is_recent(now, max_current_proof_age);
     inputs.may_trust_keys = this->view.proof().is_recent(now, this->options.max_proof_age);
-    inputs.is_stopping = this->stop_started_at != time_point{} &&
-                         now > this->stop_started_at + refuse_new_requests_after;
+    inputs.is_stopping =
+        this->is_ending || (this->stop_started_at != time_point{} &&
+                            now > this->stop_started_at + refuse_new_requests_after);
     inputs.caller_service = this->options.caller_service;
     auto result =
         admit(std::move(request), arrived, inputs, this->options.names, this->requests.random);
@@ -426,6 +427,7 @@
 
 void mesh_node::finish_stop()
 {
+    this->is_ending = true;
     log_line{"stopped"}
         .add("open_requests", this->callers.open_requests())
         .add("running", this->runner.busy_slot_count());
--- a/src/mesh/mesh_node.hpp
+++ b/src/mesh/mesh_node.hpp
@@ -128,6 +128,8 @@
     settings_status settings_in_force;
     time_point stop_started_at{};
     time_point stop_deadline{};
+    /// The last answers are being sent and no request is taken any more.
+    bool is_ending = false;
 };
 
 } // namespace dragonflyroad
--- a/test/correctness/test_settings_status.cpp
+++ b/test/correctness/test_settings_status.cpp
@@ -68,7 +68,7 @@
 /// Serves fixed bodies by path, on its own thread.
 class fixed_server {
 public:
-    explicit fixed_server(std::string address, std::map<std::string, std::string> by_path)
+    explicit fixed_server(const std::string& address, std::map<std::string, std::string> by_path)
         : bodies(std::move(by_path)),
           server(loop, server_callbacks{
                            [this](const http_request& request, time_point, response_function done) {
--- a/test/error/test_mesh_stop.cpp
+++ b/test/error/test_mesh_stop.cpp
@@ -110,6 +110,29 @@
     CHECK(served_with_upstream == sent_with_upstream);
 }
 
+// Guards against requests that are taken while a node sends its last answers and are cut off with
+// it (observed in ledgerworks-lagos-large, trouble-1: a request was handed over 50 ms after the
+// node had found itself idle).
+TEST_CASE("no request that reaches an upstream is cut off by the end of a stop")
+{
+    mesh_fleet fleet{2};
+    fleet.check_in(0, "draining", 2);
+    fleet.vms[1].upstream->behaviour = upstream_behaviour::answers_late;
+    std::size_t served = 0;
+    bool is_stopped = false;
+    fleet.vms[0].node->stop([&] { is_stopped = true; });
+    // An idle node ends its stop from 2.6 s on.
+    fleet.run_until([] { return false; }, 2'620ms);
+    while (!is_stopped) {
+        fleet.start(0, "GET", [&](const client_exchange_result& end) {
+            served += end.response.status == 200 ? 1 : 0;
+        });
+        fleet.run_until([&] { return is_stopped; }, 20ms);
+    }
+    fleet.run_until([] { return false; }, 600ms);
+    CHECK(served == fleet.total_runs());
+}
+
 // Guards against responses that are lost when the node beside the upstream ends its stop: closing a
 // socket with unread bytes resets the connection, and the peer loses what is on its way.
 TEST_CASE("a link that finishes delivers what it was given while the peer keeps sending")
--- a/test/error/test_odd_entries.cpp
+++ b/test/error/test_odd_entries.cpp
@@ -33,7 +33,7 @@
     fleet.store.put(prefix + "wraps", entry("wraps", "127.0.0.1:9", "4294967298"));
     fleet.store.put(prefix + "negative", entry("negative", "127.0.0.1:9", "-1"));
     fleet.store.put(prefix + "fraction", entry("fraction", "127.0.0.1:9", "2.5"));
-    fleet.store.put(prefix + "bytes", "\xff\xfe\x00{\"node\":\"\xc3\x28\"}");
+    fleet.store.put(prefix + "bytes", "\xff\xfe{\"node\":\"\xc3\x28\"}");
     fleet.store.put("dragonflyroad/quota/3", std::string(100'000, '['));
     fleet.configure("r2", {"other-key", "first-key"});
     fleet.run_until([] { return false; }, 1s);
