--- a/src/mesh/node_registration.hpp
+++ b/src/mesh/node_registration.hpp
@@ -39,7 +39,8 @@
 public:
     struct callbacks {
         std::function<void(std::size_t group)> group_lost;
-        /// The live nodes, which are ranked to decide the order of claims on a vacant group.
+        /// The live nodes whose upstream accepts work. They are ranked to decide the order of
+        /// claims on a vacant group.
         std::function<std::vector<node_id>()> live_nodes;
     };
 
