--- a/src/dispatch/probation.cpp
+++ b/src/dispatch/probation.cpp
@@ -14,8 +14,8 @@
 constexpr milliseconds first_pause{150};
 constexpr milliseconds longest_pause{600};
 
-/// Rejections in a row that put an upstream on probation. Of 20 upstreams that turn away 40% of
-/// their requests, less than one is on probation at a time.
+/// Rejections in a row that put an upstream on probation. An upstream that turns away 40% of its
+/// requests has four in a row with a probability of 0.4^4 = 2.6%.
 constexpr int min_rejections = 4;
 
 /// How long after the pause only repeatable requests are used as trials.
