--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,6 +1,6 @@
-// A target leaves, its node confirms that and is killed, and a check-in that the target sent before
-// arrives late at the restarted node. The rule DRAIN holds if no request reaches the target later
-// than `drain` after the confirmation.
+// A request crashes each target that begins to run it, and its caller sends it again. The rule
+// BUDGET holds if it reaches targets at most three more times later than `contact` after it has
+// crashed the third.
 #include "review/harness/fleet.hpp"
 
 namespace {
@@ -8,23 +8,88 @@
 using namespace review;
 using std::chrono::milliseconds;
 
-constexpr milliseconds warm_up{8'000};
-constexpr milliseconds request_interval{50};
-constexpr milliseconds drain{2'000};
+constexpr milliseconds warm_up{6'000};
+constexpr milliseconds duration{60'000};
+constexpr milliseconds send_interval{2'000};
+constexpr milliseconds other_interval{60};
+constexpr milliseconds down_time{3'000};
 constexpr milliseconds contact{3'000};
+constexpr std::size_t crashes_before = 3;
+constexpr std::size_t allowed_retries = 3;
 
-/// Times after the late check-in was sent.
-constexpr milliseconds deregistered_after{200};
-constexpr milliseconds killed_after{300};
-constexpr milliseconds restarted_after{1'000};
-constexpr milliseconds check_in_delay{5'000};
-constexpr milliseconds gone_after{9'000};
-constexpr milliseconds end_after{12'000};
+const std::string crashing_path = "/books/import/7";
 
-/// The clients of one machine: one request every 50 ms, each in a thread of its own.
+/// A target that ends when it begins to run the crashing request, and starts again.
+class crashing_target {
+public:
+    crashing_target(target_options initial, record& sink, run_log& runs)
+        : options(std::move(initial)), log(sink), all_runs(runs)
+    {
+        this->start();
+        this->keeper = std::thread{[this] { this->restart_after_crashes(); }};
+    }
+    crashing_target(const crashing_target&) = delete;
+    crashing_target& operator=(const crashing_target&) = delete;
+    crashing_target(crashing_target&&) = delete;
+    crashing_target& operator=(crashing_target&&) = delete;
+    ~crashing_target()
+    {
+        this->is_ending = true;
+        this->keeper.join();
+    }
+
+private:
+    void start()
+    {
+        target_options next = this->options;
+        next.id += '-' + std::to_string(++this->lifetime);
+        this->current = std::make_unique<target>(
+            next, this->all_runs, [this](target& self, connection& link, const request& received) {
+                return this->handle(self, link, received);
+            });
+        this->current->start();
+    }
+
+    std::optional<bool> handle(target& self, connection& link, const request& received)
+    {
+        if (received.target() != crashing_path) {
+            return std::nullopt;
+        }
+        self.run(received);
+        if (!has_trouble()) {
+            return link.write(self.answer_to(received));
+        }
+        this->log.add("crash target=" + self.settings().id);
+        this->has_crashed = true;
+        return false;
+    }
+
+    void restart_after_crashes()
+    {
+        while (!this->is_ending) {
+            if (this->has_crashed.exchange(false)) {
+                this->current->end();
+                pause(down_time);
+                this->start();
+            }
+            pause(milliseconds{1});
+        }
+    }
+
+    target_options options;
+    record& log;
+    run_log& all_runs;
+    std::unique_ptr<target> current;
+    std::atomic<bool> has_crashed{false};
+    std::atomic<bool> is_ending{false};
+    std::thread keeper;
+    int lifetime = 0;
+};
+
+/// Clients of all machines with requests that crash nothing.
 class callers {
 public:
-    callers(record& sink, std::string outbound) : log(sink), address(std::move(outbound))
+    callers(record& sink, fleet& entries) : log(sink), machines(entries)
     {
         this->sender = std::thread{[this] { this->send_repeatedly(); }};
     }
@@ -47,106 +112,101 @@
         }
     }
 
-    int served_count() const { return this->served; }
-    int failed_count() const { return this->failed; }
+    std::size_t served_count() const { return this->served; }
+    /// Requests that ended without a promise that they have not run.
+    std::size_t lost_count() const { return this->lost; }
 
 private:
     void send_repeatedly()
     {
-        int sent = 0;
+        std::size_t sent = 0;
         while (!this->is_ending) {
-            const std::string id = "a" + std::to_string(++sent);
-            this->threads.emplace_back([this, id] { this->send(id); });
-            pause(request_interval);
+            node& entry = this->machines.at(++sent % this->machines.size());
+            this->threads.emplace_back(
+                [this, &entry, id = "a" + std::to_string(sent)] { this->send(entry, id); });
+            pause(other_interval);
         }
     }
 
-    void send(const std::string& id)
+    void send(const node& entry, const std::string& id)
     {
         const exchange result =
-            send_request(this->address, make_request("POST", "books", id, milliseconds{4'000}),
+            send_request(entry.outbound(), make_request("POST", "books", id, milliseconds{4'000}),
                          milliseconds{4'500});
         this->served += result.status == 200 ? 1 : 0;
-        this->failed += result.status == 200 ? 0 : 1;
+        this->lost += result.status == 502 || result.status == 504 ? 1 : 0;
         this->log.add("sent id=" + id + " status=" + std::to_string(result.status) +
                       " error=" + result.error);
     }
 
     record& log;
-    std::string address;
+    fleet& machines;
     std::atomic<bool> is_ending{false};
-    std::atomic<int> served{0};
-    std::atomic<int> failed{0};
+    std::atomic<std::size_t> served{0};
+    std::atomic<std::size_t> lost{0};
     std::vector<std::thread> threads;
     std::thread sender;
 };
 
-void wait_until(milliseconds time)
-{
-    if (elapsed() < time) {
-        pause(time - elapsed());
-    }
-}
-
 int run(const std::string& record_path, const std::string& folder)
 {
     record log{record_path};
     run_log runs{log};
-    fleet machines{{{"vm-1", "books"}, {"vm-2", "books"}}, folder};
+    std::vector<node_options> wanted;
+    for (int number = 1; number <= 6; ++number) {
+        wanted.push_back({"vm-" + std::to_string(number), "books"});
+    }
+    fleet machines{wanted, folder};
     if (!machines.start(make_configuration("r1", {{"books", "books"}}))) {
         return 2;
     }
-    const auto options = [&](std::size_t index, const std::string& id) {
+    std::vector<std::unique_ptr<crashing_target>> targets;
+    for (std::size_t index = 0; index < machines.size(); ++index) {
         node& beside = machines.at(index);
-        return target_options{id, "books",          beside.app_address(), beside.control(),
-                              7,  milliseconds{300}};
-    };
-    target staying{options(0, "i-1"), runs};
-    target leaving{options(1, "i-2"), runs};
-    staying.start();
-    leaving.start();
-    callers clients{log, machines.at(0).outbound()};
-    wait_until(warm_up);
-    leaving.stop_check_ins();
-    const std::int64_t late_sequence = leaving.next_sequence();
-    log.add("check-in of i-2 with sequence " + std::to_string(late_sequence) + " is sent");
-    wait_until(warm_up + deregistered_after);
-    const int confirmation = leaving.deregister();
-    const milliseconds confirmed_at = elapsed();
-    log.add("i-2 deregisters, status=" + std::to_string(confirmation));
-    milliseconds started_at{0};
-    if (has_trouble()) {
-        wait_until(warm_up + killed_after);
-        machines.at(1).kill();
-        log.add("the node of vm-2 is killed");
-        wait_until(warm_up + restarted_after);
-        machines.at(1).start(false);
-        if (!machines.wait_until_ready()) {
-            return 2;
-        }
-        started_at = elapsed();
-        log.add("the node of vm-2 is ready again");
-        wait_until(warm_up + check_in_delay);
-        const int status = leaving.check_in("ready", late_sequence);
-        log.add("the check-in of i-2 arrives, status=" + std::to_string(status));
-    }
-    wait_until(warm_up + gone_after);
-    leaving.end();
-    log.add("i-2 ends");
-    wait_until(warm_up + end_after);
-    clients.stop();
-    int late = 0;
+        targets.push_back(std::make_unique<crashing_target>(
+            target_options{"i-" + std::to_string(index + 1), "books", beside.app_address(),
+                           beside.control(), 7, milliseconds{200}},
+            log, runs));
+    }
+    pause(warm_up);
+    int sent = 0;
+    callers others{log, machines};
+    while (elapsed() < warm_up + duration) {
+        ++sent;
+        node& entry = machines.at(static_cast<std::size_t>(sent) % machines.size());
+        request again =
+            make_request("POST", "books", "p" + std::to_string(sent), milliseconds{4'000});
+        again.target(crashing_path);
+        again.body() = "the request that crashes";
+        const exchange crashed =
+            send_request(entry.outbound(), std::move(again), milliseconds{4'500});
+        log.add("sent id=p" + std::to_string(sent) + " status=" + std::to_string(crashed.status) +
+                " error=" + crashed.error);
+        pause(send_interval);
+    }
+    others.stop();
+    std::vector<milliseconds> reached;
     for (const run_record& run : runs.all()) {
-        const bool is_in_touch = run.at > started_at + contact;
-        late += run.target == "i-2" && run.at > confirmed_at + drain && is_in_touch ? 1 : 0;
+        if (run.path == crashing_path) {
+            reached.push_back(run.at);
+        }
+    }
+    std::size_t late = 0;
+    if (reached.size() > crashes_before) {
+        const milliseconds third = reached.at(crashes_before - 1);
+        for (const milliseconds at : reached) {
+            late += at > third + contact ? 1 : 0;
+        }
     }
-    log.add("served=" + std::to_string(clients.served_count()) +
-            " not_served=" + std::to_string(clients.failed_count()) +
-            " reached_i-2_later_than_drain=" + std::to_string(late));
-    if (confirmation != 200 || clients.served_count() == 0) {
+    const std::size_t served = others.served_count();
+    log.add("sent=" + std::to_string(sent) + " others_served=" + std::to_string(served) +
+            " others_lost=" + std::to_string(others.lost_count()) +
+            " reached_targets=" + std::to_string(reached.size()) +
+            " reached_later_than_contact_after_third_crash=" + std::to_string(late));
+    if (served == 0 || reached.size() < crashes_before) {
         return 2;
     }
-    return late > 0 ? 1 : 0;
+    return has_trouble() && late > allowed_retries ? 1 : 0;
 }
 
 } // namespace
--- a/review/harness/http.cpp
+++ b/review/harness/http.cpp
@@ -25,6 +25,9 @@
 
 bool connection::write(const response& answer)
 {
+    if (this->is_silent) {
+        return true;
+    }
     boost::system::error_code error;
     beast::http::response_serializer<beast::http::string_body> serializer{answer};
     beast::http::write(this->socket, serializer, error);
@@ -88,6 +91,14 @@
     }
 }
 
+void http_server::silence_open_connections()
+{
+    const std::lock_guard lock{this->mutex};
+    for (const worker& open : this->workers) {
+        open.link->silence();
+    }
+}
+
 void http_server::close_listener()
 {
     if (!this->accept_thread.joinable()) {
--- a/review/harness/http.hpp
+++ b/review/harness/http.hpp
@@ -36,8 +36,11 @@
     void finish();
     /// Ends the connection with a reset.
     void reset();
+    /// Discards what is written from now on; the connection stays open.
+    void silence() { this->is_silent = true; }
 
 private:
+    std::atomic<bool> is_silent{false};
     tcp::socket socket;
     boost::beast::flat_buffer buffer;
 };
@@ -56,6 +59,8 @@
     ~http_server() { this->stop(); }
 
     void start(const std::string& address);
+    /// Lets the open connections go silent for good; new ones work.
+    void silence_open_connections();
     /// Closes the listener; open connections stay.
     void close_listener();
     /// Closes the listener and resets all connections.
--- a/review/harness/store.hpp
+++ b/review/harness/store.hpp
@@ -18,6 +18,7 @@
 
     void start(const std::string& address);
     void stop();
+    void silence_open_connections() { this->server.silence_open_connections(); }
     /// Writes the operator's configuration.
     void configure(const nlohmann::json& configuration);
     /// The keys under a prefix.
