review: case 3, one legal request takes a node over its memory limit

Cause: a request's body is copied at each step and nothing bounds what a node holds of its callers' requests.

--- a/review/harness/fleet.cpp
+++ b/review/harness/fleet.cpp
@@ -124,6 +124,19 @@
     return send_request(this->ready(), std::move(call), milliseconds{500}).status == 200;
 }
 
+std::size_t node::peak_memory_mb() const
+{
+    std::ifstream file{"/proc/" + std::to_string(this->process) + "/status"};
+    std::string line;
+    while (std::getline(file, line)) {
+        const std::string name = "VmHWM:";
+        if (line.starts_with(name)) {
+            return std::stoul(line.substr(name.size())) / 1024;
+        }
+    }
+    return 0;
+}
+
 fleet::fleet(const std::vector<node_options>& wanted, const std::string& folder)
     : store_address(machine_ip(wanted.size()) + ":19806"), process_list(folder + "/processes")
 {
@@ -166,7 +179,8 @@
     return true;
 }
 
-json make_configuration(const std::string& version, const std::vector<route_options>& routes)
+json make_configuration(const std::string& version, const std::vector<route_options>& routes,
+                        std::size_t max_body_bytes)
 {
     json table = json::object();
     json services = json::object();
@@ -183,7 +197,7 @@
             {"services", std::move(services)},
             {"limits",
              {{"max_header_bytes", 16384},
-              {"max_body_bytes", 1048576},
+              {"max_body_bytes", max_body_bytes},
               {"header_timeout", "5s"},
               {"idle_timeout", "30s"}}}};
 }
--- a/review/harness/fleet.hpp
+++ b/review/harness/fleet.hpp
@@ -32,7 +32,8 @@
     /// Writes the settings file with another service of the machine.
     void write_settings(const std::string& service, bool is_first) const;
     bool is_ready() const;
-    bool is_running() const { return this->process > 0; }
+    /// The most memory that the process has used so far, in MB; 0 when it does not run.
+    std::size_t peak_memory_mb() const;
 
     std::string outbound() const { return this->ip + ":19803"; }
     std::string control() const { return this->ip + ":19805"; }
@@ -86,7 +87,8 @@
 
 /// A configuration without tenants; the host of each route is NAME.example and its prefix /NAME/.
 nlohmann::json make_configuration(const std::string& version,
-                                  const std::vector<route_options>& routes);
+                                  const std::vector<route_options>& routes,
+                                  std::size_t max_body_bytes = 1U << 20U);
 
 /// A request on such a route.
 request make_request(const std::string& method, const std::string& route, const std::string& id,
--- a/review/harness/http.cpp
+++ b/review/harness/http.cpp
@@ -9,6 +9,12 @@
 
 namespace beast = boost::beast;
 
+namespace {
+
+constexpr std::uint64_t max_body_bytes = 128U << 20U;
+
+} // namespace
+
 tcp::endpoint parse_endpoint(const std::string& address)
 {
     const std::size_t colon = address.rfind(':');
@@ -19,7 +25,10 @@
 bool connection::read(request& received)
 {
     boost::system::error_code error;
-    beast::http::read(this->socket, this->buffer, received, error);
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.body_limit(max_body_bytes);
+    beast::http::read(this->socket, this->buffer, parser, error);
+    received = parser.release();
     return !error;
 }
 
@@ -47,10 +56,9 @@
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-void connection::reset()
+void connection::end()
 {
     boost::system::error_code ignored;
-    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     this->socket.shutdown(tcp::socket::shutdown_both, ignored);
 }
 
@@ -122,7 +130,7 @@
         open.swap(this->workers);
     }
     for (worker& ended : open) {
-        ended.link->reset();
+        ended.link->end();
     }
     for (worker& ended : open) {
         ended.thread.join();
--- a/review/harness/http.hpp
+++ b/review/harness/http.hpp
@@ -34,8 +34,8 @@
     bool write_text(const std::string& bytes);
     /// Closes the sending side after what was written.
     void finish();
-    /// Ends the connection with a reset.
-    void reset();
+    /// Ends the connection in both directions, from any thread.
+    void end();
     /// Discards what is written from now on; the connection stays open.
     void silence() { this->is_silent = true; }
 
@@ -63,7 +63,7 @@
     void silence_open_connections();
     /// Closes the listener; open connections stay.
     void close_listener();
-    /// Closes the listener and resets all connections.
+    /// Closes the listener and ends all connections.
     void stop();
 
 private:
--- a/review/harness/target.hpp
+++ b/review/harness/target.hpp
@@ -60,7 +60,7 @@
 
     /// Listens and checks in every 1.5 s.
     void start();
-    /// Ends without a word, as in a crash: connections are reset, check-ins end.
+    /// Ends without a word, as in a crash: connections and check-ins end.
     void end();
     /// Answers nothing more and checks in no more; connections stay open.
     void fall_silent() { this->is_silent = true; }
