Compare the id of a response that ends with its connection

Cause: client_connection::on_read accepted a response without a length at the end of the stream without comparing its id; only the branch for responses with a length did. A response without any id was accepted on every connection, although only a new one rules out that it belongs to an earlier request.

Change: both branches end in accept(), which compares the id. A response without an id counts only on a connection that has carried no other request. Skipped responses are logged as foreign_response and counted.

--- a/src/mesh/http_client_pool.cpp
+++ b/src/mesh/http_client_pool.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -67,7 +68,7 @@
 std::shared_ptr<client_connection> http_client_pool::start(client_exchange_request request,
                                                            done_function done)
 {
-    auto connection = this->take_idle(request.max_idle);
+    auto connection = this->take_idle(request);
     if (connection == nullptr) {
         connection = std::make_shared<client_connection>(*this, this->context);
     }
@@ -75,20 +76,23 @@
     return connection;
 }
 
-std::shared_ptr<client_connection> http_client_pool::take_idle(std::chrono::milliseconds max_idle)
+std::shared_ptr<client_connection>
+http_client_pool::take_idle(const client_exchange_request& request)
 {
     // The most recently used connection is the least likely to have been closed by the peer.
     const time_point now = boot_clock::now();
-    if (this->idle.empty()) {
-        return nullptr;
-    }
-    auto connection = this->idle.back();
-    if (now > connection->idle_since + max_idle || now > connection->reusable_until ||
-        !this->reuse_limit.may_reuse(connection->idle_since, now)) {
-        return nullptr;
+    for (auto next = this->idle.rbegin(); next != this->idle.rend(); ++next) {
+        const auto connection = *next;
+        if (now > connection->idle_since + request.max_idle || now > connection->reusable_until ||
+            !this->reuse_limit.may_reuse(connection->idle_since, now)) {
+            return nullptr;
+        }
+        if (connection->may_carry(request)) {
+            this->idle.erase(std::next(next).base());
+            return connection;
+        }
     }
-    this->idle.pop_back();
-    return connection;
+    return nullptr;
 }
 
 void http_client_pool::add_idle(const std::shared_ptr<client_connection>& connection)
@@ -124,6 +128,7 @@
     this->done = std::move(function);
     this->decoder.emplace(this->request.method, this->pool->body_limit);
     this->is_written = false;
+    this->has_carried_other = this->idle_since != time_point{};
     this->skipped_responses = 0;
     this->response_bytes = 0;
     ++this->pool->open_requests;
@@ -209,10 +214,8 @@
         this->close();
         return;
     }
-    if (error == boost::asio::error::eof && this->decoder->decode_end() == decode_state::complete) {
-        this->response = this->decoder->take();
-        this->response.keeps_connection = false;
-        this->finish(client_exchange_outcome::answered, "");
+    if (error == boost::asio::error::eof) {
+        this->on_end();
         return;
     }
     if (error) {
@@ -247,18 +250,57 @@
         this->finish(client_exchange_outcome::broken, "the bytes are no HTTP answer");
         return;
     }
-    http_response next = this->decoder->take();
-    if (this->request.matches_request && !this->request.matches_request(next)) {
-        if (!next.keeps_connection || ++this->skipped_responses > max_skipped_responses) {
-            this->finish(client_exchange_outcome::broken, "the answer belongs to another request");
-            return;
-        }
-        this->decoder.emplace(this->request.method, this->pool->body_limit);
-        this->decode();
+    this->accept(this->decoder->take());
+}
+
+void client_connection::on_end()
+{
+    if (this->decoder->decode_end() != decode_state::complete) {
+        this->finish(client_exchange_outcome::broken, "the connection ended before the answer");
         return;
     }
-    this->response = std::move(next);
-    this->finish(client_exchange_outcome::answered, "");
+    http_response last = this->decoder->take();
+    last.keeps_connection = false;
+    this->accept(std::move(last));
+}
+
+void client_connection::accept(http_response next)
+{
+    if (this->is_own(next)) {
+        this->response = std::move(next);
+        this->finish(client_exchange_outcome::answered, "");
+        return;
+    }
+    ++this->pool->foreign;
+    log_line{"foreign_response"}
+        .add("peer", this->address)
+        .add("request", this->request.identity->id)
+        .add("returned",
+             std::string{find_header(next.headers, this->request.identity->header).value_or("")})
+        .add("status", next.status);
+    if (!next.keeps_connection || ++this->skipped_responses > max_skipped_responses) {
+        this->finish(client_exchange_outcome::broken, "the answer belongs to another request");
+        return;
+    }
+    this->decoder.emplace(this->request.method, this->pool->body_limit);
+    this->decode();
+}
+
+bool client_connection::is_own(const http_response& candidate) const
+{
+    const auto& identity = this->request.identity;
+    if (!identity) {
+        return true;
+    }
+    const auto returned = find_header(candidate.headers, identity->header);
+    return returned ? *returned == identity->id : !this->has_carried_other;
+}
+
+bool client_connection::may_carry(const client_exchange_request& next) const
+{
+    // An answer without an id is accepted on a new connection only, so a request without one needs
+    // such a connection.
+    return this->idle_since == time_point{} || !next.identity || !next.identity->id.empty();
 }
 
 bool client_connection::is_reset_at_once(client_exchange_outcome end) const
--- a/src/mesh/http_client_pool.hpp
+++ b/src/mesh/http_client_pool.hpp
@@ -39,6 +39,14 @@
     bool was_stale = false;
 };
 
+/// The id by which a peer's response is matched to its request. A faulty peer may send a response
+/// again, late, where the response to a later request on the connection is due.
+struct request_identity {
+    /// The header in which the peer returns the id of the request.
+    std::string header;
+    std::string id;
+};
+
 /// One request to an HTTP peer.
 struct client_exchange_request {
     std::string bytes;
@@ -47,9 +55,8 @@
     /// Maximum idle time of a pooled connection that may carry this request. A peer may have closed
     /// or forgotten an idle connection, and a request that may not be retried fails on it.
     std::chrono::milliseconds max_idle{0};
-    /// Whether a response belongs to this request; other responses are skipped. If empty, the first
-    /// response is accepted.
-    std::function<bool(const http_response&)> matches_request;
+    /// Identifies the request in its responses. Without it the first response is accepted.
+    std::optional<request_identity> identity;
 };
 
 class client_connection;
@@ -79,11 +86,13 @@
 
     const std::string& peer() const { return this->address; }
     std::uint64_t connections_opened() const { return this->opened; }
+    /// Responses that belonged to another request than the one that was waiting.
+    std::uint64_t foreign_responses() const { return this->foreign; }
 
 private:
     friend class client_connection;
 
-    std::shared_ptr<client_connection> take_idle(std::chrono::milliseconds max_idle);
+    std::shared_ptr<client_connection> take_idle(const client_exchange_request& request);
     void add_idle(const std::shared_ptr<client_connection>& connection);
     void remove_idle(const client_connection* connection);
 
@@ -98,6 +107,7 @@
     std::list<std::shared_ptr<client_connection>> idle;
     idle_reuse_limit reuse_limit;
     std::uint64_t opened = 0;
+    std::uint64_t foreign = 0;
 };
 
 class client_connection : public std::enable_shared_from_this<client_connection> {
@@ -116,6 +126,16 @@
     void read();
     void on_read(const boost::system::error_code& error, std::size_t size);
     void decode();
+    /// Handles the orderly end of the connection, which completes a response without a length.
+    void on_end();
+    /// Ends the request with a complete response, or skips the response if it belongs to another
+    /// request.
+    void accept(http_response next);
+    /// Whether a response belongs to the current request. A response without an id does only on a
+    /// connection that has carried no other request.
+    bool is_own(const http_response& candidate) const;
+    /// Whether the response to the request could be told from others on this connection.
+    bool may_carry(const client_exchange_request& next) const;
     /// Whether the open responses exceed the pool's limit and this one has more than its share.
     bool exceeds_receiving_limit() const;
     void finish(client_exchange_outcome end, std::string detail);
@@ -138,6 +158,8 @@
     time_point idle_since{};
     time_point request_started_at{};
     time_point reusable_until{};
+    /// Whether this connection has carried a request before the current one.
+    bool has_carried_other = false;
     bool is_connected = false;
     bool is_reading = false;
     bool is_written = false;
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -457,6 +457,9 @@
     counters.add_metric_callback("upstream_connections_total", "counter", [this] {
         return static_cast<double>(this->runner.connections_opened());
     });
+    counters.add_metric_callback("foreign_responses_total", "counter", [this] {
+        return static_cast<double>(this->runner.foreign_responses());
+    });
     counters.add_metric_callback("configuration_revision", "gauge", [this] {
         return static_cast<double>(this->view.status(boot_clock::now()).revision);
     });
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -482,12 +482,7 @@
     exchange.method = head.method;
     exchange.deadline = entry->deadline + deadline_grace;
     exchange.max_idle = entry->reservation.is_repeatable ? safe_idle_limit : unsafe_idle_limit;
-    const std::string name = this->names.request_id;
-    const std::string expected = entry->request_id;
-    exchange.matches_request = [name, expected](const http_response& response) {
-        const auto echoed = find_header(response.headers, name);
-        return !echoed || expected.empty() || *echoed == expected;
-    };
+    exchange.identity = {this->names.request_id, entry->request_id};
     return exchange;
 }
 
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -85,6 +85,7 @@
     std::size_t busy_slot_count() const { return this->slots_in_use; }
     std::size_t queued_count() const { return this->queue.size(); }
     std::uint64_t connections_opened() const { return this->pool.connections_opened(); }
+    std::uint64_t foreign_responses() const { return this->pool.foreign_responses(); }
 
 private:
     enum class stage { waiting, offered, running, done };
