Never send a request twice on one connection to an upstream

Cause: the id names the request, not its sending. A late copy of an earlier refusal on the connection bears the right id when the same request is sent there again, and was taken for the answer to the sending that the upstream was running. A copy of a failed answer was confused in the same way when a repeatable request was sent again.

Ruled out: closing the connection after each refusal mends it as well, but a full upstream refuses often, and new connections to it are limited.

Change: a connection remembers the requests it carried until their deadline has passed and does not carry one of them again.

--- a/src/mesh/http_client_pool.cpp
+++ b/src/mesh/http_client_pool.cpp
@@ -20,6 +20,10 @@
 /// Maximum number of responses to other requests that are skipped before the connection is closed.
 constexpr int max_skipped_responses = 3;
 
+/// How long after its deadline a request may still be sent again: its time left is rounded on the
+/// way between nodes.
+constexpr std::chrono::milliseconds resend_margin{1'000};
+
 /// A failure on a pooled connection within this time after the start of a request is taken to mean
 /// that the peer had already closed the connection: a peer on the same VM reacts within a few
 /// milliseconds.
@@ -133,6 +137,12 @@
     this->response_bytes = 0;
     ++this->pool->open_requests;
     this->request_started_at = boot_clock::now();
+    std::erase_if(this->carried, [this](const auto& sent) {
+        return this->request_started_at > sent.second + resend_margin;
+    });
+    if (this->request.identity) {
+        this->carried[this->request.identity->id] = this->request.deadline;
+    }
     this->arm_timer(this->request.deadline);
     if (this->is_connected) {
         this->write();
@@ -300,7 +310,8 @@
 {
     // An answer without an id is accepted on a new connection only, so a request without one needs
     // such a connection.
-    return this->idle_since == time_point{} || !next.identity || !next.identity->id.empty();
+    return !next.identity ||
+           (!next.identity->id.empty() && !this->carried.contains(next.identity->id));
 }
 
 bool client_connection::is_reset_at_once(client_exchange_outcome end) const
--- a/src/mesh/http_client_pool.hpp
+++ b/src/mesh/http_client_pool.hpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -134,7 +135,8 @@
     /// Whether a response belongs to the current request. A response without an id does only on a
     /// connection that has carried no other request.
     bool is_own(const http_response& candidate) const;
-    /// Whether the response to the request could be told from others on this connection.
+    /// Whether the request may be sent on this connection: a second response to an earlier sending
+    /// of it could not be told from its own.
     bool may_carry(const client_exchange_request& next) const;
     /// Whether the open responses exceed the pool's limit and this one has more than its share.
     bool exceeds_receiving_limit() const;
@@ -158,6 +160,9 @@
     time_point idle_since{};
     time_point request_started_at{};
     time_point reusable_until{};
+    /// Ids of the requests that were sent on this connection and whose deadline has not passed,
+    /// with that deadline. A request is not sent again after its deadline.
+    std::map<std::string, time_point> carried;
     /// Whether this connection has carried a request before the current one.
     bool has_carried_other = false;
     bool is_connected = false;
--- a/test/error/test_late_responses.cpp
+++ b/test/error/test_late_responses.cpp
@@ -78,6 +78,51 @@
     }
 }
 
+// Guards against a second copy of a refusal that is taken for the answer to a later sending of the
+// same request (review case 2: the request was sent on though the upstream was running it).
+TEST_CASE("a refusal that is repeated late does not make a request run twice")
+{
+    std::map<std::string, int> sendings;
+    std::map<std::string, int> runs;
+    std::map<std::size_t, std::string> copies;
+    scripted_fleet scripted{[&](std::size_t connection, const http_request& request) {
+        const std::string id = attempt_id(request);
+        if (++sendings[id] == 1) {
+            copies[connection] = refusal_response(id);
+            return scripted_reply{refusal_response(id)};
+        }
+        ++runs[id];
+        return scripted_reply{std::exchange(copies[connection], "") +
+                              signed_response(200, id, "own")};
+    }};
+    for (int request = 0; request < 3; ++request) {
+        CHECK(scripted.fleet.exchange(0, "POST").response.status == 200);
+    }
+    CHECK(runs.size() == 3);
+    for (const auto& [id, count] : runs) {
+        CAPTURE(id);
+        CHECK(count == 1);
+    }
+}
+
+// Guards against the same confusion after a failed run of a repeatable request: the copy of its
+// failure was taken for the answer to the repeat.
+TEST_CASE("a failure that is repeated late is not the answer to the repeat of its request")
+{
+    std::map<std::string, int> sendings;
+    std::map<std::size_t, std::string> copies;
+    scripted_fleet scripted{[&](std::size_t connection, const http_request& request) {
+        const std::string id = attempt_id(request);
+        if (++sendings[id] == 1) {
+            copies[connection] = signed_response(500, id, "failed");
+            return scripted_reply{signed_response(500, id, "failed")};
+        }
+        return scripted_reply{std::exchange(copies[connection], "") +
+                              signed_response(200, id, "own")};
+    }};
+    CHECK(scripted.fleet.exchange(0, "GET").response.body == "own");
+}
+
 // Guards against a response that breaks off and is passed on as complete. Each prefix of a head and
 // of a framed body is tried, followed by an orderly end of the connection.
 TEST_CASE("a response that breaks off anywhere is not complete")
