Close the older idle connections when a request gets no response in time

Cause: connections to the store can go silent together without a reset. A call without a reply closed its own connection only, and the next call took another one that had been idle since before and was as dead. A node has one idle connection for each quota group it has claimed, so several time-outs of 1 to 1.3 s followed each other.

Change: a request without a response in time closes the connections that have been idle since before it was sent. Those used since then have shown that they work.

--- a/src/mesh/http_client_pool.cpp
+++ b/src/mesh/http_client_pool.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <iterator>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/write.hpp>
 
@@ -121,6 +122,17 @@
     }
 }
 
+void http_client_pool::close_idle_since_before(time_point time)
+{
+    std::vector<std::shared_ptr<client_connection>> older;
+    std::ranges::copy_if(this->idle, std::back_inserter(older),
+                         [time](const auto& kept) { return kept->idle_since < time; });
+    for (const auto& connection : older) {
+        this->remove_idle(connection.get());
+        connection->close();
+    }
+}
+
 client_connection::client_connection(http_client_pool& owner, boost::asio::io_context& loop)
     : pool(&owner), socket(loop), timer(loop)
 {
@@ -372,6 +384,9 @@
         }
         if (self->done != nullptr) {
             const bool connected = self->is_connected;
+            if (connected) {
+                self->pool->close_idle_since_before(self->request_started_at);
+            }
             self->finish(connected ? client_exchange_outcome::broken
                                    : client_exchange_outcome::not_sent,
                          connected ? "no answer in time" : "no connection in time");
--- a/src/mesh/http_client_pool.hpp
+++ b/src/mesh/http_client_pool.hpp
@@ -84,6 +84,10 @@
     std::shared_ptr<client_connection> start(client_exchange_request request, done_function done);
 
     void close_idle();
+    /// Closes the connections that have been idle since before `time`. One without a response in
+    /// time may have been dropped by the network without a reset, and then these may have been
+    /// dropped with it.
+    void close_idle_since_before(time_point time);
 
     const std::string& peer() const { return this->address; }
     std::uint64_t connections_opened() const { return this->opened; }
