Test a stop to its end with callers on kept connections

Another operator reports requests that came late in the grace time of a planned stop, were passed on and cut off. Tried here: requests on connections that were open before the stop, one every 60 ms until the process is gone. A trace of a first form of the test, which counted runs by the time at which they began, showed a request that was taken after 2.7 s and handed over after 3.2 s; that is allowed, so the test goes by the request's own time.

--- a/test/error/test_mesh_stop.cpp
+++ b/test/error/test_mesh_stop.cpp
@@ -1,8 +1,11 @@
 #include "mesh/link.hpp"
 #include "test/support/mesh_fleet.hpp"
+#include "test/support/scripted_upstream.hpp"
 
 #include <algorithm>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -133,6 +136,48 @@
     CHECK(served == fleet.total_runs());
 }
 
+// Guards against requests that come late in a stop, on connections that were open before it, and
+// are passed on and then cut off by its end. Callers use open connections until the process is
+// gone.
+TEST_CASE("requests on kept connections are answered whole or not passed on throughout a stop")
+{
+    mesh_fleet fleet{2};
+    fleet.callers_max_idle = 10s;
+    std::size_t warmed_up = 0;
+    constexpr std::size_t kept_connections = 100;
+    for (std::size_t request = 0; request < kept_connections; ++request) {
+        fleet.start(0, "GET", [&](const client_exchange_result&) { ++warmed_up; });
+    }
+    REQUIRE(fleet.run_until([&] { return warmed_up == kept_connections; }));
+    fleet.check_in(0, "draining", 2);
+    loopback_upstream& upstream = *fleet.vms[1].upstream;
+    upstream.behaviour = upstream_behaviour::answers_late;
+    const std::size_t runs_before = fleet.total_runs();
+    std::size_t served = 0;
+    std::size_t refused = 0;
+    std::set<std::string> late;
+    bool is_stopped = false;
+    fleet.vms[0].node->stop([&] { is_stopped = true; });
+    const time_point began = boot_clock::now();
+    for (int request = 0; !is_stopped; ++request) {
+        fleet.start(0, request % 2 == 0 ? "POST" : "GET", [&](const client_exchange_result& end) {
+            served += end.response.status == 200 ? 1 : 0;
+            refused += end.response.status == 503 ? 1 : 0;
+        });
+        if (boot_clock::now() > began + 3s) {
+            late.insert(fleet.last_request_id());
+        }
+        fleet.run_until([&] { return is_stopped; }, 60ms);
+    }
+    fleet.run_until([] { return false; }, 1s);
+    CHECK(served > 0);
+    CHECK(refused > 0);
+    CHECK_FALSE(late.empty());
+    CHECK(std::ranges::none_of(
+        upstream.runs, [&](const http_request& run) { return late.contains(attempt_id(run)); }));
+    CHECK(served == fleet.total_runs() - runs_before);
+}
+
 // Guards against responses that are lost when the node beside the upstream ends its stop: closing a
 // socket with unread bytes resets the connection, and the peer loses what is on its way.
 TEST_CASE("a link that finishes delivers what it was given while the peer keeps sending")
--- a/test/support/mesh_fleet.cpp
+++ b/test/support/mesh_fleet.cpp
@@ -163,12 +163,13 @@
 mesh_fleet::start(std::size_t vm, const std::string& method,
                   std::function<void(client_exchange_result)> done)
 {
-    static int last_id = 0;
+    static int requests = 0;
+    this->last_id = "request-" + std::to_string(++requests);
     request_head head;
     head.method = method;
     head.target = method == "GET" ? "/read/item" : "/submit/item";
     head.headers = {{"Host", "books.example"},
-                    {"X-Attempt-Id", "request-" + std::to_string(++last_id)},
+                    {"X-Attempt-Id", this->last_id},
                     {"X-Deadline-Ms", "1500"},
                     {"Api-Key", "first-key"},
                     {"X-Tenant-Id", "forged"}};
@@ -176,6 +177,7 @@
     request.bytes = encode_request(head, method == "GET" ? "" : "body");
     request.method = method;
     request.deadline = boot_clock::now() + std::chrono::seconds{4};
+    request.max_idle = this->callers_max_idle;
     return this->vms[vm].callers->start(std::move(request), std::move(done));
 }
 
--- a/test/support/mesh_fleet.hpp
+++ b/test/support/mesh_fleet.hpp
@@ -63,6 +63,9 @@
     start(std::size_t vm, const std::string& method,
           std::function<void(dragonflyroad::client_exchange_result)> done);
 
+    /// The id of the request that was sent last.
+    const std::string& last_request_id() const { return this->last_id; }
+
     /// Writes a configuration in which `keys` are the API keys of the only organisation.
     void configure(const std::string& version, const std::vector<std::string>& keys);
     /// `born` tells the lifetimes of an upstream apart.
@@ -70,7 +73,13 @@
                   std::int64_t born = 1000);
     std::size_t total_runs() const;
 
+    /// Maximum idle time of a connection that callers use again; zero: each opens a new one.
+    std::chrono::milliseconds callers_max_idle{0};
+
     boost::asio::io_context context;
     memory_shared_store store{context};
     std::vector<loopback_vm> vms;
+
+private:
+    std::string last_id;
 };
