Mend what the linter found, and three comments

clang-tidy refused a const local that is returned and a captured structured binding. The comments on the kept successes and on a crash that cannot be published said more than holds. No behaviour changes.

--- a/src/dispatch/crash_guard.cpp
+++ b/src/dispatch/crash_guard.cpp
@@ -24,7 +24,8 @@
 /// How long a success clears a request of suspicion: as long as a crash counts.
 constexpr std::chrono::seconds success_retention = 60s;
 
-/// Upper bound on the successes that are kept: 256 KB, and more than the requests of a minute.
+/// Upper bound on the successes that are kept, which take 64 bytes each. Requests that are frequent
+/// enough to be running at several crashes by chance are among the latest.
 constexpr std::size_t max_successes = 4'096;
 
 /// The runs that a crash ends are broken within this time of each other.
--- a/src/dispatch/crash_guard.hpp
+++ b/src/dispatch/crash_guard.hpp
@@ -39,7 +39,7 @@
 public:
     crash_guard();
 
-    /// Records that a run of the request ended with an answer.
+    /// Records that a run of the request ended with an answer other than a failure.
     void record_success(std::uint64_t fingerprint, time_point now);
 
     /// Records a run whose connection the upstream closed before it had answered.
--- a/src/mesh/crash_publisher.cpp
+++ b/src/mesh/crash_publisher.cpp
@@ -18,8 +18,8 @@
 /// ten minutes.
 constexpr std::chrono::minutes crash_time_to_live = 10min;
 
-/// Pause after a failed call, and the time after which a crash is not written any more: by then
-/// another node has seen a request that is still sent crash its upstream.
+/// Pause after a failed call, and the time after which the crash stays known to this node only. A
+/// request that still comes by then crashes other upstreams, which are reported anew.
 constexpr std::chrono::milliseconds retry_pause = 500ms;
 constexpr std::chrono::seconds give_up_after = 30s;
 
--- a/src/mesh/http_client_pool.cpp
+++ b/src/mesh/http_client_pool.cpp
@@ -91,7 +91,7 @@
     // The most recently used connection is the least likely to have been closed by the peer.
     const time_point now = boot_clock::now();
     for (auto next = this->idle.rbegin(); next != this->idle.rend(); ++next) {
-        const auto connection = *next;
+        auto connection = *next;
         if (now > connection->idle_since + request.max_idle || now > connection->reusable_until ||
             !this->reuse_limit.may_reuse(connection->idle_since, now)) {
             return nullptr;
--- a/test/error/test_late_responses.cpp
+++ b/test/error/test_late_responses.cpp
@@ -99,9 +99,9 @@
         CHECK(scripted.fleet.exchange(0, "POST").response.status == 200);
     }
     CHECK(runs.size() == 3);
-    for (const auto& [id, count] : runs) {
-        CAPTURE(id);
-        CHECK(count == 1);
+    for (const auto& run : runs) {
+        CAPTURE(run.first);
+        CHECK(run.second == 1);
     }
 }
 
