--- /dev/null
+++ b/src/mesh/upstream_runner_reservations.cpp
@@ -0,0 +1,218 @@
+#include "mesh/upstream_runner.hpp"
+
+#include <algorithm>
+
+namespace dragonflyroad {
+namespace {
+
+/// How long a slot is held for an offer: the round trip to a VM that is slowed down five times.
+constexpr std::chrono::milliseconds offer_lifetime{250};
+
+/// One offer beyond the upstream's slots is made for every this many slots. The upstream queues a
+/// few requests itself, so its slots are not idle during the round trip of an offer.
+constexpr std::size_t slots_per_extra_offer = 4;
+
+} // namespace
+
+void upstream_runner::drop_reservations(const node_id& from)
+{
+    const time_point now = boot_clock::now();
+    std::erase_if(this->runs, [&](const auto& item) {
+        const run_pointer& entry = item.second;
+        if (item.first.first != from ||
+            (entry->state != stage::waiting && entry->state != stage::offered)) {
+            return false;
+        }
+        this->queue.remove(entry->ticket, now);
+        this->tickets.erase(entry->ticket);
+        this->withdraw_offer(entry);
+        return true;
+    });
+    this->offer_next();
+}
+
+void upstream_runner::reserve(const node_id& from, const reserve_message& message)
+{
+    const time_point now = boot_clock::now();
+    const auto& current = this->reports.current();
+    const auto wait = this->queue.estimate(message.rank, message.organisation, now).wait;
+    if (!this->accepts_work(now) || current->service != message.service) {
+        const auto reason =
+            this->is_stopping ? decline_reason::stopping : decline_reason::no_upstream;
+        this->reply_to(from, reservation_declined_message{message.id, reason, wait});
+        return;
+    }
+    if (!this->has_retry_room(message, now)) {
+        this->reply_to(from, reservation_declined_message{
+                                 message.id, decline_reason::retry_budget_exhausted, wait});
+        return;
+    }
+    const auto entry = std::make_shared<run>();
+    entry->key = {from, message.id};
+    entry->ticket = ++this->last_ticket;
+    entry->reservation = message;
+    if (this->failing.is_active() && !message.accepts_probation) {
+        this->reserve_on_probation(entry);
+        return;
+    }
+    if (this->slots_in_use < this->max_slots_in_use() && this->queue.size() == 0) {
+        this->runs[entry->key] = entry;
+        this->tickets[entry->ticket] = entry;
+        this->offer(entry);
+        return;
+    }
+    const queued_request work{entry->ticket, message.organisation, message.rank,
+                              now + message.start_within, message.expected_run};
+    const auto expected = this->queue.push(work, now);
+    if (!expected) {
+        this->reply_to(from,
+                       reservation_declined_message{message.id, decline_reason::overloaded, wait});
+        return;
+    }
+    this->runs[entry->key] = entry;
+    this->tickets[entry->ticket] = entry;
+    this->reply_to(
+        from, reservation_accepted_message{message.id, false,
+                                           expected->wait + this->reservation_cost(message, now)});
+    this->arm_timer();
+}
+
+void upstream_runner::reserve_on_probation(const run_pointer& entry)
+{
+    const time_point now = boot_clock::now();
+    if (!this->failing.admits(entry->reservation.is_repeatable, now) ||
+        this->slots_in_use >= this->max_slots_in_use()) {
+        this->reply_to(entry->key.first,
+                       reservation_declined_message{entry->key.second, decline_reason::on_probation,
+                                                    this->failing.time_to_next_trial(now)});
+        return;
+    }
+    this->failing.begin_trial();
+    entry->is_trial = true;
+    this->runs[entry->key] = entry;
+    this->tickets[entry->ticket] = entry;
+    this->offer(entry);
+}
+
+void upstream_runner::decline_waiting(decline_reason reason)
+{
+    for (const auto& [key, entry] : std::map{this->runs}) {
+        if (entry->state == stage::waiting) {
+            this->queue.remove(entry->ticket, boot_clock::now());
+            this->decline(entry, reason);
+        }
+    }
+}
+
+void upstream_runner::offer(const run_pointer& entry)
+{
+    const time_point now = boot_clock::now();
+    const auto cost = this->reservation_cost(entry->reservation, now);
+    entry->state = stage::offered;
+    entry->offered_until = now + offer_lifetime;
+    this->upstream_retries.hold(entry->reservation.retry_share);
+    ++this->slots_in_use;
+    this->reply_to(entry->key.first, reservation_accepted_message{entry->key.second, true, cost});
+    this->arm_timer();
+}
+
+std::size_t upstream_runner::max_slots_in_use() const
+{
+    const std::size_t slots = this->reports.current()->slots;
+    return slots + slots / slots_per_extra_offer;
+}
+
+void upstream_runner::withdraw_offer(const run_pointer& entry)
+{
+    if (entry->state == stage::offered) {
+        this->upstream_retries.release(entry->reservation.retry_share);
+        --this->slots_in_use;
+        if (entry->is_trial) {
+            this->failing.end_trial();
+        }
+    }
+}
+
+void upstream_runner::offer_next()
+{
+    const time_point now = boot_clock::now();
+    while (this->accepts_work(now) && !this->failing.is_active() &&
+           this->slots_in_use < this->max_slots_in_use()) {
+        const auto ticket = this->queue.pop(now);
+        if (!ticket) {
+            return;
+        }
+        const auto found = this->tickets.find(*ticket);
+        if (found == this->tickets.end()) {
+            continue;
+        }
+        const run_pointer entry = found->second;
+        // The retry budget may have been used up while the reservation was queued.
+        if (!this->has_retry_room(entry->reservation, now)) {
+            this->decline(entry, decline_reason::retry_budget_exhausted);
+            continue;
+        }
+        this->offer(entry);
+    }
+}
+
+void upstream_runner::decline(const run_pointer& entry, decline_reason reason)
+{
+    this->tickets.erase(entry->ticket);
+    this->runs.erase(entry->key);
+    this->reply_to(entry->key.first, reservation_declined_message{entry->key.second, reason, {}});
+}
+
+bool upstream_runner::has_retry_room(const reserve_message& reservation, time_point now)
+{
+    return this->upstream_retries.has_room(reservation.retry_share, this->service_upstream_count(),
+                                           now);
+}
+
+void upstream_runner::release(const run_key& key)
+{
+    const auto found = this->runs.find(key);
+    if (found == this->runs.end()) {
+        return;
+    }
+    const run_pointer entry = found->second;
+    if (entry->state != stage::waiting && entry->state != stage::offered) {
+        return;
+    }
+    this->queue.remove(entry->ticket, boot_clock::now());
+    this->tickets.erase(entry->ticket);
+    this->withdraw_offer(entry);
+    this->runs.erase(found);
+    this->offer_next();
+}
+
+std::chrono::milliseconds upstream_runner::reservation_cost(const reserve_message& reservation,
+                                                            time_point now) const
+{
+    auto cost = this->health.expected_cost(now, reservation.expected_run, reservation.failure_cost,
+                                           this->max_run_overrun(now));
+    // An upstream that has had no request for a while costs nothing, so that a trial request is
+    // sent to it. Only repeatable requests serve as trials, as they can be retried elsewhere.
+    if (this->slots_in_use == 0 && reservation.is_repeatable) {
+        cost = cost_when_idle(cost, this->last_run_at, now);
+    }
+    const auto& current = this->reports.current();
+    if (current && now < current->cold_until) {
+        cost += reservation.expected_run;
+    }
+    return cost;
+}
+
+std::chrono::milliseconds upstream_runner::max_run_overrun(time_point now) const
+{
+    std::chrono::milliseconds longest{0};
+    for (const auto& [key, entry] : this->runs) {
+        if (entry->state == stage::running) {
+            longest = std::max(longest, milliseconds_between(entry->started_at, now) -
+                                            entry->reservation.expected_run);
+        }
+    }
+    return longest;
+}
+
+} // namespace dragonflyroad
