--- /dev/null
+++ b/src/dispatch/service_load.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+#include "dispatch/upstream_load_report.hpp"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace dragonflyroad {
+
+/// What this node knows of the load of each upstream, from the reports in replies. A report is old
+/// when it is used: this node adds what it has sent since, and expects the rest to change at the
+/// rate that the report implies. Not synchronised.
+class service_load {
+public:
+    /// Replaces what is known of the upstream beside `vm`.
+    void record(const node_id& vm, const upstream_load_report& report, time_point now);
+    /// Records that this node has asked for or used a slot there since the latest report.
+    void record_sent(const node_id& vm, time_point now);
+    void forget(const node_id& vm);
+
+    /// Expected wait for a slot at the upstream beside `vm`; nothing without a recent report.
+    std::optional<std::chrono::milliseconds> expected_wait(const node_id& vm, time_point now) const;
+
+    /// The shortest expected wait among these VMs. Nothing unless at least half of them, and at
+    /// least two, have a recent report: with less evidence no request is rejected because of it.
+    std::optional<std::chrono::milliseconds> shortest_wait(const std::vector<node_id>& vms,
+                                                           time_point now) const;
+
+private:
+    struct known_load {
+        upstream_load_report report;
+        time_point reported_at{};
+        std::uint32_t sent_since = 0;
+    };
+
+    std::map<node_id, known_load> known;
+};
+
+} // namespace dragonflyroad
