Let two test programs run at the same time

Cause: the fleets of the tests listen at fixed ports. While another test-error ran on this machine, the requests of a test reached that program's node and 14 checks of a test failed (status 0); the same test passed alone twice. Change: each test program claims a range of ports by listening at its first. Result: two test-error programs ran the same cases at once, both passed.

--- a/test/support/mesh_fleet.cpp
+++ b/test/support/mesh_fleet.cpp
@@ -1,5 +1,6 @@
 #include "mesh_fleet.hpp"
 
+#include "mesh/listener.hpp"
 #include "platform/check_in.hpp"
 #include "platform/configuration_decoder.hpp"
 
@@ -11,16 +12,44 @@
 
 namespace {
 
-/// Each VM uses three consecutive ports, which lie outside the ephemeral range.
+/// Each VM uses three consecutive ports, which lie outside the ephemeral range. Each test program
+/// has a range of its own, so that two can run at the same time.
 constexpr int first_port = 23100;
 constexpr int ports_per_vm = 3;
+constexpr int ports_per_program = 200;
+constexpr int max_programs = 30;
+
+/// The first free range of ports. Listening at the first port of the range claims it for the life
+/// of this program.
+class port_range {
+public:
+    port_range() : claim(this->loop)
+    {
+        for (int program = 0; program < max_programs; ++program) {
+            this->first = first_port + program * ports_per_program;
+            this->claim = boost::asio::ip::tcp::acceptor{this->loop};
+            if (open_listener(this->claim, "127.0.0.1:" + std::to_string(this->first))) {
+                return;
+            }
+        }
+    }
+
+    int first_free_port() const { return this->first + 1; }
+
+private:
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::acceptor claim;
+    int first = 0;
+};
 
 /// Run time of an upstream that answers late, within the requests' deadline of 1.5 s.
 constexpr std::chrono::milliseconds late_by{400};
 
 std::string address_of(std::size_t vm, int offset)
 {
-    return "127.0.0.1:" + std::to_string(first_port + static_cast<int>(vm) * ports_per_vm + offset);
+    static const port_range ports;
+    return "127.0.0.1:" +
+           std::to_string(ports.first_free_port() + static_cast<int>(vm) * ports_per_vm + offset);
 }
 
 mesh_settings settings_of(std::size_t vm, std::chrono::milliseconds stop_timeout)
