--- a/src/mesh/http_codec.cpp
+++ b/src/mesh/http_codec.cpp
@@ -24,6 +24,11 @@
 /// Upper bound on the interim (1xx) responses to one request; upstreams send at most a few.
 constexpr int max_interim_responses = 16;
 
+/// The statuses that RFC 9110 defines classes for, and the one that changes the protocol.
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
+constexpr unsigned switching_protocols = 101;
+
 template<typename Fields>
 http_headers copy_headers(const Fields& fields)
 {
@@ -121,6 +126,15 @@
         this->parser->skip(this->has_no_body);
     }
 
+    /// Whether the status, once it was read, is one that a response to these requests can have. 101
+    /// answers a request to change the protocol, which is never sent.
+    bool has_valid_status() const
+    {
+        const unsigned status = this->parser->get().result_int();
+        return !this->parser->is_header_done() ||
+               (status >= min_status && status <= max_status && status != switching_protocols);
+    }
+
     bool is_interim() const
     {
         return this->parser->is_header_done() && this->parser->get().result_int() < 200;
@@ -144,6 +158,9 @@
 {
     while (true) {
         const decode_state result = feed(*this->state->parser, buffer);
+        if (!this->state->has_valid_status()) {
+            return decode_state::malformed;
+        }
         if (result != decode_state::complete || !this->state->is_interim()) {
             return result;
         }
