End reservations when another service takes the upstream's place (ROUTE)

Callers: a request could run at a service that its route does not lead to, if its reservation waited while the upstream beside the node was replaced by one of another service. Cause: reservations and offers were kept over a change of the upstream's service. Change: a new lifetime of another service ends the reservations and offers for any other service; the callers' nodes ask elsewhere. Those of the same service wait on.

--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -57,6 +57,7 @@
         this->failing = {};
         this->connect_backoff_until = {};
         this->pool.close_idle();
+        this->drop_reservations_of_other_services();
     }
     this->pool.set_address(report.address);
     this->queue.set_capacity(report.slots, this->typical_run);
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -135,6 +135,8 @@
     /// trial or declines.
     void reserve_on_probation(const run_pointer& entry);
     void decline_waiting(decline_reason reason);
+    /// Ends the reservations and offers for another service than the present upstream's.
+    void drop_reservations_of_other_services();
     void record_fast_failure(const run_pointer& entry, bool is_rejection, time_point now);
     /// Frees the slot and the retry budget that an offer holds.
     void withdraw_offer(const run_pointer& entry);
--- a/src/mesh/upstream_runner_reservations.cpp
+++ b/src/mesh/upstream_runner_reservations.cpp
@@ -104,6 +104,20 @@
     }
 }
 
+void upstream_runner::drop_reservations_of_other_services()
+{
+    const service_name& present = this->reports.current()->service;
+    for (const auto& [key, entry] : std::map{this->runs}) {
+        const bool is_reserved = entry->state == stage::waiting || entry->state == stage::offered;
+        if (!is_reserved || entry->reservation.service == present) {
+            continue;
+        }
+        this->queue.remove(entry->ticket, boot_clock::now());
+        this->withdraw_offer(entry);
+        this->decline(entry, decline_reason::no_upstream);
+    }
+}
+
 void upstream_runner::offer(const run_pointer& entry)
 {
     const time_point now = boot_clock::now();
