Carry the upstream's load in replies between nodes

Cause: a node knows the load of an upstream only from the cost of the latest offer, so its choice and its decisions on arrival have nothing to go by.

Change: offers, declines, responses and failures carry the slots in use, the runs that wait, the slots and the typical run. No message is added. Each node keeps the latest report of each upstream and the reservations that it has sent since (service_load). A reply without a report, from a node of an earlier version, changes nothing.

--- a/src/dispatch/service_load.hpp
+++ b/src/dispatch/service_load.hpp
@@ -5,8 +5,10 @@
 #include "dispatch/upstream_load_report.hpp"
 
 #include <chrono>
-#include <map>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace dragonflyroad {
@@ -16,28 +18,37 @@
 /// rate that the report implies. Not synchronised.
 class service_load {
 public:
-    /// Replaces what is known of the upstream beside `vm`.
+    /// Replaces what is known of the upstream beside `vm`, unless the report is empty.
     void record(const node_id& vm, const upstream_load_report& report, time_point now);
     /// Records that this node has asked for or used a slot there since the latest report.
     void record_sent(const node_id& vm, time_point now);
     void forget(const node_id& vm);
 
-    /// Expected wait for a slot at the upstream beside `vm`; nothing without a recent report.
+    /// Expected wait for a slot at the upstream beside `vm`, for a request that is served after
+    /// those that wait; nothing without a recent report.
     std::optional<std::chrono::milliseconds> expected_wait(const node_id& vm, time_point now) const;
 
+    /// Age of the latest report of the upstream beside `vm`; nothing when there is no recent one.
+    std::optional<std::chrono::milliseconds> report_age(const node_id& vm, time_point now) const;
+
     /// The shortest expected wait among these VMs. Nothing unless at least half of them, and at
     /// least two, have a recent report: with less evidence no request is rejected because of it.
     std::optional<std::chrono::milliseconds> shortest_wait(const std::vector<node_id>& vms,
                                                            time_point now) const;
 
+    std::size_t known_count() const { return this->known.size(); }
+
 private:
     struct known_load {
         upstream_load_report report;
         time_point reported_at{};
         std::uint32_t sent_since = 0;
+        time_point last_sent_at{};
     };
 
-    std::map<node_id, known_load> known;
+    const known_load* find_recent(const node_id& vm, time_point now) const;
+
+    std::unordered_map<node_id, known_load> known;
 };
 
 } // namespace dragonflyroad
--- a/src/dispatch/work_queue.cpp
+++ b/src/dispatch/work_queue.cpp
@@ -145,4 +145,17 @@
     return {std::chrono::milliseconds{static_cast<std::int64_t>(seconds * 1000)}};
 }
 
+std::chrono::milliseconds work_queue::drain_time(time_point now) const
+{
+    double seconds = 0;
+    for (const work_class& own : this->classes) {
+        std::size_t waiting = 0;
+        for (const auto& [rank, queue] : own.ranks) {
+            waiting += queue.size();
+        }
+        seconds += static_cast<double>(waiting) / own.departures_per_second(now, this->base_rate);
+    }
+    return std::chrono::milliseconds{static_cast<std::int64_t>(seconds * 1000)};
+}
+
 } // namespace dragonflyroad
--- a/src/dispatch/work_queue.hpp
+++ b/src/dispatch/work_queue.hpp
@@ -79,6 +79,9 @@
     wait_estimate estimate(const work_rank& rank, const organisation_id& organisation,
                            time_point now) const;
 
+    /// Time until all that waits now has left the queue, to a slot or elsewhere.
+    std::chrono::milliseconds drain_time(time_point now) const;
+
     std::size_t size() const { return this->entries.size(); }
 
 private:
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -224,6 +224,7 @@
     message.expected_run = this->expected_run();
     for (const node_id& vm : chosen) {
         this->reservations[vm] = {};
+        this->owner.loads.record_sent(vm, now);
     }
     for (const node_id& vm : chosen) {
         this->owner.send(vm, message);
--- a/src/mesh/dispatcher.cpp
+++ b/src/mesh/dispatcher.cpp
@@ -47,6 +47,9 @@
 {
     std::visit(
         [&](const auto& typed) {
+            if constexpr (requires { typed.load; }) {
+                this->loads.record(from, typed.load, boot_clock::now());
+            }
             if constexpr (requires(dispatched_request & request) {
                               request.receive(from, typed);
                           }) {
--- a/src/mesh/dispatcher.hpp
+++ b/src/mesh/dispatcher.hpp
@@ -3,6 +3,7 @@
 #include "adapters/metrics.hpp"
 #include "core/random.hpp"
 #include "dispatch/crash_guard.hpp"
+#include "dispatch/service_load.hpp"
 #include "dispatch/vm_selector.hpp"
 #include "mesh/link_message.hpp"
 #include "mesh/node_directory.hpp"
@@ -63,6 +64,7 @@
     random_engine random;
     node_directory directory;
     vm_selector selector;
+    service_load loads;
     run_times run_time_means;
     crash_guard crashes;
     metrics counters;
--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -37,6 +37,10 @@
         this->fields.push_back(
             {rank.is_new_request, rank.organisation_priority, rank.route_priority});
     }
+    void operator()(const upstream_load_report& load)
+    {
+        this->fields.push_back({load.busy, load.waiting, load.slots, load.typical_run.count()});
+    }
     void operator()(const http_headers& headers)
     {
         json pairs = json::array();
@@ -76,6 +80,13 @@
     {
         this->read(this->fields.at(this->next++), value);
     }
+    /// The last field of its messages; nodes of an earlier version do not send it.
+    void operator()(upstream_load_report& load)
+    {
+        if (!this->is_finished()) {
+            this->read(this->fields.at(this->next++), load);
+        }
+    }
 
     bool is_finished() const { return this->next == this->fields.size(); }
 
@@ -105,6 +116,11 @@
     {
         rank = {field.at(0).get<bool>(), field.at(1).get<int>(), field.at(2).get<int>()};
     }
+    static void read(const json& field, upstream_load_report& load)
+    {
+        load = {field.at(0).get<std::uint32_t>(), field.at(1).get<std::uint32_t>(),
+                field.at(2).get<std::uint32_t>(), milliseconds{field.at(3).get<std::uint32_t>()}};
+    }
     static void read(const json& field, http_headers& headers)
     {
         for (std::size_t index = 0; index + 1 < field.size(); index += 2) {
@@ -155,9 +171,11 @@
     }
     else if constexpr (std::is_same_v<type, reservation_accepted_message>) {
         archive(message.id), archive(message.is_offer), archive(message.cost);
+        archive(message.load);
     }
     else if constexpr (std::is_same_v<type, reservation_declined_message>) {
         archive(message.id), archive(message.reason), archive(message.wait);
+        archive(message.load);
     }
     else if constexpr (std::is_same_v<type, run_message>) {
         archive(message.id), archive(message.time_left), archive(message.head);
@@ -166,9 +184,11 @@
     else if constexpr (std::is_same_v<type, response_message>) {
         archive(message.id), archive(message.status), archive(message.headers);
         archive(message.body), archive(message.elapsed);
+        archive(message.load);
     }
     else if constexpr (std::is_same_v<type, failed_message>) {
         archive(message.id), archive(message.kind), archive(message.detail);
+        archive(message.load);
     }
     else if constexpr (std::is_same_v<type, quota_request_message>) {
         archive(message.id), archive(message.organisation), archive(message.is_relayed);
--- a/src/mesh/link_message.hpp
+++ b/src/mesh/link_message.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http_message.hpp"
 #include "core/ids.hpp"
+#include "dispatch/upstream_load_report.hpp"
 #include "dispatch/work_queue.hpp"
 #include "mesh/shared_store.hpp"
 
@@ -64,6 +65,7 @@
     /// For an offer the expected cost of running at this upstream, otherwise the expected wait in
     /// its queue plus that cost.
     std::chrono::milliseconds cost{0};
+    upstream_load_report load{};
 };
 
 enum class decline_reason {
@@ -81,6 +83,7 @@
     decline_reason reason = decline_reason::overloaded;
     /// Expected wait for a slot; 0 when the reservation had been queued.
     std::chrono::milliseconds wait{0};
+    upstream_load_report load{};
 };
 
 /// Sends the request that uses an offered slot.
@@ -108,6 +111,7 @@
     std::string body;
     /// Run time at the upstream.
     std::chrono::milliseconds elapsed{0};
+    upstream_load_report load{};
 };
 
 enum class run_failure {
@@ -125,6 +129,7 @@
     run_id id = 0;
     run_failure kind = run_failure::unknown;
     std::string detail;
+    upstream_load_report load{};
 };
 
 /// Asks the holder of an organisation's quota to admit one request, directly or through a relay.
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -156,6 +156,7 @@
     void handle_misdirected_request(const client_exchange_result& result);
     /// False when there is no link to the node.
     bool reply_to(const node_id& node, const link_message& message);
+    upstream_load_report load_report(time_point now) const;
     std::chrono::milliseconds reservation_cost(const reserve_message& reservation,
                                                time_point now) const;
     std::chrono::milliseconds max_run_overrun(time_point now) const;
--- a/src/mesh/upstream_runner_reservations.cpp
+++ b/src/mesh/upstream_runner_reservations.cpp
@@ -1,6 +1,7 @@
 #include "mesh/upstream_runner.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dragonflyroad {
 namespace {
@@ -43,8 +44,9 @@
         return;
     }
     if (!this->has_retry_room(message, now)) {
-        this->reply_to(from, reservation_declined_message{
-                                 message.id, decline_reason::retry_budget_exhausted, wait});
+        this->reply_to(from, reservation_declined_message{message.id,
+                                                          decline_reason::retry_budget_exhausted,
+                                                          wait, this->load_report(now)});
         return;
     }
     const auto entry = std::make_shared<run>();
@@ -65,15 +67,16 @@
                               now + message.start_within, message.expected_run};
     const auto expected = this->queue.push(work, now);
     if (!expected) {
-        this->reply_to(from,
-                       reservation_declined_message{message.id, decline_reason::overloaded, wait});
+        this->reply_to(from, reservation_declined_message{message.id, decline_reason::overloaded,
+                                                          wait, this->load_report(now)});
         return;
     }
     this->runs[entry->key] = entry;
     this->tickets[entry->ticket] = entry;
     this->reply_to(
         from, reservation_accepted_message{message.id, false,
-                                           expected->wait + this->reservation_cost(message, now)});
+                                           expected->wait + this->reservation_cost(message, now),
+                                           this->load_report(now)});
     this->arm_timer();
 }
 
@@ -84,7 +87,8 @@
         this->slots_in_use >= this->max_slots_in_use()) {
         this->reply_to(entry->key.first,
                        reservation_declined_message{entry->key.second, decline_reason::on_probation,
-                                                    this->failing.time_to_next_trial(now)});
+                                                    this->failing.time_to_next_trial(now),
+                                                    this->load_report(now)});
         return;
     }
     this->failing.begin_trial();
@@ -112,7 +116,8 @@
     entry->offered_until = now + offer_lifetime;
     this->upstream_retries.hold(entry->reservation.retry_share);
     ++this->slots_in_use;
-    this->reply_to(entry->key.first, reservation_accepted_message{entry->key.second, true, cost});
+    this->reply_to(entry->key.first, reservation_accepted_message{entry->key.second, true, cost,
+                                                                  this->load_report(now)});
     this->arm_timer();
 }
 
@@ -122,6 +127,21 @@
     return slots + slots / slots_per_extra_offer;
 }
 
+upstream_load_report upstream_runner::load_report(time_point now) const
+{
+    const auto& current = this->reports.current();
+    if (!current || current->slots == 0) {
+        return {};
+    }
+    const double typical =
+        std::max(std::chrono::duration<double>(this->typical_run).count(), 0.001);
+    const std::chrono::duration<double> drain = this->queue.drain_time(now);
+    const auto slots = static_cast<std::uint32_t>(current->slots);
+    const double waiting = std::ceil(drain.count() * slots / typical);
+    return {static_cast<std::uint32_t>(this->slots_in_use), static_cast<std::uint32_t>(waiting),
+            slots, this->typical_run};
+}
+
 void upstream_runner::withdraw_offer(const run_pointer& entry)
 {
     if (entry->state == stage::offered) {
@@ -160,7 +180,9 @@
 {
     this->tickets.erase(entry->ticket);
     this->runs.erase(entry->key);
-    this->reply_to(entry->key.first, reservation_declined_message{entry->key.second, reason, {}});
+    this->reply_to(entry->key.first,
+                   reservation_declined_message{
+                       entry->key.second, reason, {}, this->load_report(boot_clock::now())});
 }
 
 bool upstream_runner::has_retry_room(const reserve_message& reservation, time_point now)
--- a/src/mesh/upstream_runner_runs.cpp
+++ b/src/mesh/upstream_runner_runs.cpp
@@ -32,6 +32,17 @@
 /// Weight of the latest run in the moving average of run times.
 constexpr double ewma_weight = 0.1;
 
+void set_load(link_message& message, const upstream_load_report& load)
+{
+    std::visit(
+        [&](auto& typed) {
+            if constexpr (requires { typed.load; }) {
+                typed.load = load;
+            }
+        },
+        message);
+}
+
 } // namespace
 
 void upstream_runner::record_fast_failure(const run_pointer& entry, bool is_rejection,
@@ -151,7 +162,10 @@
         .add("detail", detail);
     entry->forget_at = now + run_retention;
     if (!entry->is_cancelled) {
+        set_load(outcome, this->load_report(now));
         entry->is_reported = this->reply_to(entry->key.first, outcome);
+        // The outcome may be sent again on a new link, when the report is outdated.
+        set_load(outcome, {});
         entry->outcome = std::move(outcome);
     }
     this->offer_next();
--- a/test/correctness/test_mesh_formats.cpp
+++ b/test/correctness/test_mesh_formats.cpp
@@ -8,6 +8,7 @@
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 using namespace dragonflyroad;
 using namespace std::chrono_literals;
@@ -88,6 +89,38 @@
           decline_reason::retry_budget_exhausted);
 }
 
+// Guards against load reports that are lost between nodes, and against replies of nodes of an
+// earlier version, which carry none.
+TEST_CASE("replies carry the load of the upstream, and one without it has an empty report")
+{
+    const upstream_load_report load{3, 2, 8, 710ms};
+    const auto load_of = [&](const link_message& sent) {
+        const auto received = decode_link_message(encode_link_message(sent), "peer");
+        REQUIRE(received.has_value());
+        return std::visit(
+            [](const auto& typed) {
+                if constexpr (requires { typed.load; }) {
+                    return typed.load;
+                }
+                return upstream_load_report{};
+            },
+            *received);
+    };
+    CHECK(load_of(reservation_accepted_message{9, true, 5ms, load}) == load);
+    CHECK(load_of(reservation_declined_message{9, decline_reason::overloaded, 5ms, load}) == load);
+    CHECK(load_of(response_message{9, 200, {}, "body", 5ms, load}) == load);
+    CHECK(load_of(failed_message{9, run_failure::unknown, "reset", load}) == load);
+
+    const auto encoded = nlohmann::json::from_cbor(
+        encode_link_message(reservation_accepted_message{9, true, 5ms, load}));
+    std::string earlier;
+    nlohmann::json::to_cbor({encoded[0], encoded[1], encoded[2], encoded[3]}, earlier);
+    const auto received = decode_link_message(earlier, "peer");
+    REQUIRE(received.has_value());
+    CHECK(std::get<reservation_accepted_message>(*received).load == upstream_load_report{});
+    CHECK(std::get<reservation_accepted_message>(*received).cost == 5ms);
+}
+
 // Guards against malformed bytes from a peer that crash the process.
 TEST_CASE("malformed messages are refused with a reason")
 {
