Take the less loaded of two offers and ask the VMs that were not asked for longest

Cause: the first good offer was accepted, so the node's own VM and the fastest to reply won, and ties were random.

Change: a good offer is held for up to 12 ms until the other VM that was asked has replied; the lower sum of expected loss, wait, slots in use and traffic is accepted. The VMs to ask come from a bounded sample, by the expected wait from the latest report and this node's own reservations, then by the time since they were asked. Without reports the choice is as before. No more VMs are asked.

--- a/src/dispatch/service_load.cpp
+++ b/src/dispatch/service_load.cpp
@@ -45,29 +45,50 @@
     this->known.erase(vm);
 }
 
+bool service_load::is_recent(const known_load& state, time_point now)
+{
+    return state.report.slots > 0 && now <= state.reported_at + report_lifetime;
+}
+
 const service_load::known_load* service_load::find_recent(const node_id& vm, time_point now) const
 {
     const auto found = this->known.find(vm);
-    const bool is_recent = found != this->known.end() && found->second.report.slots > 0 &&
-                           now <= found->second.reported_at + report_lifetime;
-    return is_recent ? &found->second : nullptr;
+    return found != this->known.end() && is_recent(found->second, now) ? &found->second : nullptr;
 }
 
-std::optional<milliseconds> service_load::expected_wait(const node_id& vm, time_point now) const
+milliseconds service_load::wait_of(const known_load& state, time_point now)
 {
-    const known_load* state = this->find_recent(vm, now);
-    if (state == nullptr) {
-        return std::nullopt;
-    }
-    const upstream_load_report& report = state->report;
+    const upstream_load_report& report = state.report;
     const std::int64_t work =
-        std::int64_t{report.busy} + report.waiting + state->sent_since + 1 - report.slots;
+        std::int64_t{report.busy} + report.waiting + state.sent_since + 1 - report.slots;
     if (work <= 0) {
         return milliseconds{0};
     }
     // With all slots in use, one run ends in every typical run time divided by the slots.
     const milliseconds wait = report.typical_run * work / report.slots;
-    return std::max(wait - milliseconds_between(state->reported_at, now), milliseconds{0});
+    return std::max(wait - milliseconds_between(state.reported_at, now), milliseconds{0});
+}
+
+std::optional<milliseconds> service_load::expected_wait(const node_id& vm, time_point now) const
+{
+    return this->estimate(vm, now).wait;
+}
+
+load_estimate service_load::estimate(const node_id& vm, time_point now) const
+{
+    const auto found = this->known.find(vm);
+    load_estimate result;
+    if (found == this->known.end() || found->second.report.slots == 0) {
+        return result;
+    }
+    const known_load& state = found->second;
+    if (is_recent(state, now)) {
+        result.wait = wait_of(state, now);
+    }
+    if (state.last_sent_at != time_point{}) {
+        result.since_asked = now - state.last_sent_at;
+    }
+    return result;
 }
 
 std::optional<milliseconds> service_load::report_age(const node_id& vm, time_point now) const
--- a/src/dispatch/service_load.hpp
+++ b/src/dispatch/service_load.hpp
@@ -13,6 +13,15 @@
 
 namespace dragonflyroad {
 
+/// The load of one upstream as a node expects it to be now.
+struct load_estimate {
+    /// Expected wait for a slot; nothing without a recent report.
+    std::optional<std::chrono::milliseconds> wait;
+    /// Time since this node last asked for a slot there; nothing if it never did or never got a
+    /// report.
+    std::optional<duration> since_asked;
+};
+
 /// What this node knows of the load of each upstream, from the reports in replies. A report is old
 /// when it is used: this node adds what it has sent since, and expects the rest to change at the
 /// rate that the report implies. Not synchronised.
@@ -28,6 +37,8 @@
     /// those that wait; nothing without a recent report.
     std::optional<std::chrono::milliseconds> expected_wait(const node_id& vm, time_point now) const;
 
+    load_estimate estimate(const node_id& vm, time_point now) const;
+
     /// Age of the latest report of the upstream beside `vm`; nothing when there is no recent one.
     std::optional<std::chrono::milliseconds> report_age(const node_id& vm, time_point now) const;
 
@@ -47,6 +58,8 @@
     };
 
     const known_load* find_recent(const node_id& vm, time_point now) const;
+    static bool is_recent(const known_load& state, time_point now);
+    static std::chrono::milliseconds wait_of(const known_load& state, time_point now);
 
     std::unordered_map<node_id, known_load> known;
 };
--- a/src/dispatch/vm_selector.hpp
+++ b/src/dispatch/vm_selector.hpp
@@ -3,11 +3,14 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "core/random.hpp"
+#include "dispatch/service_load.hpp"
 
 #include <chrono>
 #include <cstddef>
-#include <map>
+#include <functional>
 #include <optional>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace dragonflyroad {
@@ -19,6 +22,25 @@
     bool is_local_vm = false;
 };
 
+/// The VMs that run upstreams of one service, parted by data centre. Selections reorder each part.
+struct service_candidates {
+    service_candidates() = default;
+    explicit service_candidates(const std::vector<vm_candidate>& candidates);
+
+    std::vector<vm_candidate> same_centre;
+    std::vector<vm_candidate> other_centres;
+};
+
+/// What a selection is for.
+struct vm_selection {
+    std::size_t count = 0;
+    /// Expected size of the response; the larger it is, the more strongly VMs in this node's data
+    /// centre are preferred.
+    double response_size = 0;
+    /// VMs that are not chosen, such as those that have declined the request.
+    std::function<bool(const node_id&)> is_excluded = [](const node_id&) { return false; };
+};
+
 /// The latest cost and reachability that this node observed at a VM. An observation that is not
 /// renewed loses its weight within seconds, because load changes that fast.
 struct vm_observation {
@@ -32,9 +54,15 @@
 };
 
 /// Selects the VMs that are asked to reserve a slot for a request. Load is balanced by late
-/// binding: a few VMs are asked and the first good offer is accepted. The selection therefore only
-/// has to avoid VMs that are known to be busy, unhealthy or unreachable, and to prefer this node's
-/// data centre. Not synchronised.
+/// binding: a few VMs are asked and the best offer is accepted.
+///
+/// Answers this load: many nodes choose at the same moment and each knows little of the others.
+/// They must not all ask the upstream that looked best in the latest reports, and an upstream must
+/// not be asked again and again while others idle. So each selection scores a bounded random sample
+/// of the VMs. It takes those with the shortest expected wait, which includes what this node has
+/// sent since the report, and among equals those that this node has not asked for longest. VMs of
+/// other data centres are chosen once waiting in this one costs more than the traffic.
+/// Not synchronised.
 class vm_selector {
 public:
     void record_cost(const node_id& vm, std::chrono::milliseconds cost, time_point now);
@@ -43,19 +71,32 @@
 
     bool is_unreachable(const node_id& vm, time_point now) const;
 
-    /// The best `count` candidates, best first. `response_size` is the expected size of the
-    /// response; the larger it is, the more strongly VMs in this node's data centre are preferred.
-    std::vector<node_id> choose(std::vector<vm_candidate> candidates, std::size_t count,
-                                double response_size, random_engine& random, time_point now) const;
+    /// The best candidates of the sample, best first. Reorders `candidates`.
+    std::vector<node_id> choose(service_candidates& candidates, const vm_selection& wanted,
+                                const service_load& loads, random_engine& random,
+                                time_point now) const;
 
 private:
+    using scored_vm = std::pair<double, const node_id*>;
+
+    /// Scores a random sample of up to `limit` VMs that can be chosen.
+    void score_sample(std::vector<vm_candidate>& candidates, std::size_t limit,
+                      const vm_selection& wanted, const service_load& loads, random_engine& random,
+                      time_point now, std::vector<scored_vm>& scored) const;
     /// Cost of a candidate in milliseconds; lower is better.
-    double score(const vm_candidate& candidate, double response_size, random_engine& random,
-                 time_point now) const;
+    double score(const vm_candidate& candidate, const load_estimate& load, double response_size,
+                 random_engine& random, time_point now) const;
 
-    std::map<node_id, vm_observation> observations;
+    std::unordered_map<node_id, vm_observation> observations;
 };
 
+/// What the traffic of a request to another data centre costs, as waiting time in milliseconds.
+double other_centre_cost(double response_size);
+
+/// What an offer of an upstream with this load costs in milliseconds, beyond the expected loss that
+/// it states. 0 when the load is not known.
+double offer_load_cost(const upstream_load_report& load);
+
 /// A VM's reply to a reservation.
 struct reservation_reply {
     node_id vm;
@@ -64,9 +105,11 @@
     /// With an offer, the extra time that the request is expected to lose at this VM; otherwise the
     /// expected wait in its queue plus that time.
     std::chrono::milliseconds cost{0};
+    /// Orders offers: what the load of the VM and the traffic to it cost, in milliseconds.
+    double placement_cost = 0;
 };
 
-/// The offer with the lowest cost, or nothing when no reply is an offer.
+/// The offer with the lowest total cost, or nothing when no reply is an offer.
 std::optional<reservation_reply> cheapest_offer(const std::vector<reservation_reply>& replies);
 
 /// The VM whose offer to accept now: the cheapest one, unless the expected wait at a VM where the
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -17,8 +17,9 @@
 /// them.
 constexpr milliseconds immediate_accept_cost{25};
 
-/// How long an offer above that cost is held while other VMs are asked: one round trip between data
-/// centres plus the reply time of slow VMs. The offered slot is idle meanwhile.
+/// How long an offer is held while the replies of other VMs are awaited, and other VMs are asked if
+/// it is above that cost: one round trip between data centres plus the reply time of slow VMs. The
+/// offered slot is idle meanwhile.
 constexpr milliseconds offer_hold_limit{12};
 
 /// While the organisation's quota has no holder, its request is decided again after this pause, and
@@ -190,26 +191,17 @@
     this->round = 0;
 }
 
-std::vector<vm_candidate> dispatched_request::unreserved_vms() const
-{
-    auto candidates = this->owner.directory.candidates(this->accepted.service, this->owner.self,
-                                                       this->owner.centre);
-    std::erase_if(candidates, [&](const vm_candidate& candidate) {
-        return this->reservations.contains(candidate.vm) || this->declined.contains(candidate.vm) ||
-               this->released_vms.contains(candidate.vm);
-    });
-    return candidates;
-}
-
 bool dispatched_request::reserve_more(std::size_t count)
 {
     const time_point now = boot_clock::now();
     const std::size_t room =
         max_reservations - std::min(max_reservations, this->reservations.size());
-    const double response_size =
-        this->owner.run_time_means.response_size(this->accepted.service, this->accepted.route.name);
-    const auto chosen = this->owner.selector.choose(this->unreserved_vms(), std::min(count, room),
-                                                    response_size, this->owner.random, now);
+    const vm_selection wanted{std::min(count, room), this->response_size(),
+                              [this](const node_id& vm) { return this->is_excluded(vm); }};
+    const auto chosen = this->owner.selector.choose(
+        this->owner.directory.candidates(this->accepted.service, this->owner.self,
+                                         this->owner.centre),
+        wanted, this->owner.loads, this->owner.random, now);
     reserve_message message;
     message.id = this->round;
     message.service = this->accepted.service;
@@ -244,7 +236,7 @@
     }
     const time_point now = boot_clock::now();
     this->last_reply_at = now;
-    found->second = {true, message.is_offer, message.cost};
+    found->second = {true, message.is_offer, message.cost, message.load};
     if (message.is_offer && this->offer_hold_until == time_point{}) {
         this->offer_hold_until = now + offer_hold_limit;
     }
@@ -274,7 +266,7 @@
                 std::min(this->shortest_wait.value_or(message.wait), message.wait);
         }
     }
-    if (message.reason == decline_reason::retry_budget_exhausted &&
+    if (message.reason == decline_reason::retry_budget_exhausted && !this->holds_good_offer() &&
         ++this->retry_declines >= max_retry_declines) {
         this->fail_round(refusal_reason::upstream_refused, ran::no,
                          "the budget for repeats is used up");
@@ -285,7 +277,8 @@
 
 void dispatched_request::continue_after_decline()
 {
-    if (this->reserve_more(additional_reservations) || !this->reservations.empty()) {
+    if (this->holds_good_offer() || this->reserve_more(additional_reservations) ||
+        !this->reservations.empty()) {
         this->evaluate_replies();
         return;
     }
@@ -327,7 +320,8 @@
     std::vector<reservation_reply> received;
     for (const auto& [vm, reserved] : this->reservations) {
         if (reserved.has_reply) {
-            received.push_back({vm, reserved.is_offer, reserved.cost});
+            received.push_back(
+                {vm, reserved.is_offer, reserved.cost, this->placement_cost(vm, reserved.load)});
         }
     }
     return received;
@@ -363,12 +357,16 @@
     }
     // An offered slot is idle, so at most one offer is held, and only briefly.
     this->release_offers(offered->vm);
-    if (offered->cost <= immediate_accept_cost) {
+    const bool is_held = boot_clock::now() < this->offer_hold_until;
+    const bool may_be_compared = this->reservations.at(offered->vm).load.slots > 0 && is_held &&
+                                 this->has_unanswered_reservation();
+    if (offered->cost <= immediate_accept_cost && !may_be_compared) {
         this->hand_over(offered->vm);
         return;
     }
-    if (boot_clock::now() < this->offer_hold_until &&
+    if (is_held &&
         (this->has_unanswered_reservation() || this->reserve_more(additional_reservations))) {
+        this->arm_tick();
         return;
     }
     if (best_offer(received)) {
@@ -379,6 +377,13 @@
     this->offer_hold_until = {};
 }
 
+bool dispatched_request::holds_good_offer() const
+{
+    return std::ranges::any_of(this->reservations, [](const auto& item) {
+        return item.second.is_offer && item.second.cost <= immediate_accept_cost;
+    });
+}
+
 bool dispatched_request::awaits_reply_from(const node_id& node) const
 {
     return this->reservations.contains(node) ||
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -73,6 +73,8 @@
         /// queue plus that cost. The wait is not reduced by the time that has passed since the
         /// reply: a queue that drains more slowly than estimated is no closer to its end.
         std::chrono::milliseconds cost{0};
+        /// Load of the upstream when its node replied; empty when the node does not report it.
+        upstream_load_report load;
     };
     struct active_run {
         node_id vm;
@@ -86,10 +88,19 @@
     void begin_round();
     void end_round();
     bool reserve_more(std::size_t count);
-    /// VMs of the service that can still be asked in this round: they hold no reservation, are not
-    /// in `declined`, and their offer was not released.
-    std::vector<vm_candidate> unreserved_vms() const;
+    /// Whether the VM is not asked again in this round: it holds a reservation, is in `declined`,
+    /// or its offer was released.
+    bool is_excluded(const node_id& vm) const;
     void evaluate_replies();
+    /// Whether an offer is held that is good enough to be accepted.
+    bool holds_good_offer() const;
+    /// What an offer of this VM costs beyond the expected loss that it states, in milliseconds.
+    double placement_cost(const node_id& vm, const upstream_load_report& load) const;
+    /// Mean size of the responses to such requests.
+    double response_size() const;
+    /// Whether the VM is in this node's data centre.
+    bool is_same_centre(const node_id& vm) const;
+    void log_dispatch(const node_id& vm, const reservation& offer, time_point now) const;
     std::vector<reservation_reply> received_replies() const;
     bool has_unanswered_reservation() const;
     /// Releases the offered slots of all VMs except `kept`.
--- a/src/mesh/dispatched_request_runs.cpp
+++ b/src/mesh/dispatched_request_runs.cpp
@@ -46,14 +46,8 @@
                           {this->accepted.organisation, this->accepted.caller_service});
     message.body = this->accepted.request.body;
     message.fingerprint = this->accepted.fingerprint;
-    log_line{"dispatch"}
-        .add("request", this->accepted.id)
-        .add("service", this->accepted.service.value)
-        .add("vm", vm.value)
-        .add("cost_ms", offer.cost.count())
-        .add("waited_ms", milliseconds_between(this->accepted.arrived, now).count())
-        .add("asked", this->reservations.size() + this->declined.size())
-        .add("run", this->runs_started);
+    this->log_dispatch(vm, offer, now);
+    this->owner.count_dispatch(this->is_same_centre(vm));
     this->reservations.erase(vm);
     this->owner.send(vm, message);
     this->end_round();
@@ -185,8 +179,11 @@
 void dispatched_request::arm_tick()
 {
     const time_point now = boot_clock::now();
-    const time_point next = std::min(
-        this->accepted.deadline, now + (this->round != 0 ? reserve_interval : run_check_interval));
+    time_point next = std::min(this->accepted.deadline,
+                               now + (this->round != 0 ? reserve_interval : run_check_interval));
+    if (this->round != 0 && this->offer_hold_until > now) {
+        next = std::min(next, this->offer_hold_until);
+    }
     this->timer.expires_after(std::max<duration>(next - now, duration::zero()));
     this->timer.async_wait([weak = this->weak_from_this()](const boost::system::error_code& error) {
         const auto self = weak.lock();
@@ -212,7 +209,7 @@
                              "no VM of the service replies");
             return;
         }
-        if (now >= this->next_reserve_at) {
+        if (now >= this->next_reserve_at && !this->holds_good_offer()) {
             this->reserve_more(additional_reservations);
         }
         this->evaluate_replies();
--- a/src/mesh/dispatcher.cpp
+++ b/src/mesh/dispatcher.cpp
@@ -16,6 +16,12 @@
       centre(std::move(own_centre)),
       random(std::random_device{}())
 {
+    this->counters.add_metric_callback("dispatches_same_centre_total", "counter", [this] {
+        return static_cast<double>(this->same_centre_dispatches);
+    });
+    this->counters.add_metric_callback("dispatches_other_centre_total", "counter", [this] {
+        return static_cast<double>(this->other_centre_dispatches);
+    });
 }
 
 run_id dispatcher::register_round(const std::shared_ptr<dispatched_request>& request)
--- a/src/mesh/dispatcher.hpp
+++ b/src/mesh/dispatcher.hpp
@@ -55,6 +55,11 @@
     run_id allocate_id() { return ++this->last_allocated_id; }
     run_id register_round(const std::shared_ptr<dispatched_request>& request);
     void unregister_round(run_id id) { this->rounds.erase(id); }
+    /// Counts a request that was sent to an upstream of this node's or another data centre.
+    void count_dispatch(bool is_same_centre)
+    {
+        ++(is_same_centre ? this->same_centre_dispatches : this->other_centre_dispatches);
+    }
     void send(const node_id& node, const link_message& message) { this->sender(node, message); }
 
     boost::asio::io_context& context;
@@ -85,6 +90,8 @@
     send_function sender;
     std::map<run_id, std::weak_ptr<dispatched_request>> rounds;
     run_id last_allocated_id = 0;
+    std::uint64_t same_centre_dispatches = 0;
+    std::uint64_t other_centre_dispatches = 0;
 };
 
 } // namespace dragonflyroad
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -473,6 +473,10 @@
         "running", "gauge", [this] { return static_cast<double>(this->runner.busy_slot_count()); });
     counters.add_metric_callback(
         "waiting", "gauge", [this] { return static_cast<double>(this->runner.queued_count()); });
+    counters.add_metric_callback("slots", "gauge",
+                                 [this] { return static_cast<double>(this->runner.slot_count()); });
+    counters.add_metric_callback("upstream_runs_total", "counter",
+                                 [this] { return static_cast<double>(this->runner.runs_sent()); });
     counters.add_metric_callback("upstream_connections_total", "counter", [this] {
         return static_cast<double>(this->runner.connections_opened());
     });
--- a/src/mesh/node_directory.cpp
+++ b/src/mesh/node_directory.cpp
@@ -75,17 +75,35 @@
     return found == this->entries.end() ? nullptr : &found->second;
 }
 
-std::vector<vm_candidate> node_directory::candidates(const service_name& service,
-                                                     const node_id& self,
-                                                     const data_centre& centre) const
+void node_directory::put(const node_entry& entry)
 {
+    const auto [found, is_new] = this->entries.try_emplace(entry.node, entry);
+    if (is_new || !(found->second == entry)) {
+        found->second = entry;
+        this->listed.clear();
+    }
+}
+
+void node_directory::remove(const node_id& node)
+{
+    this->entries.erase(node);
+    this->listed.clear();
+}
+
+service_candidates& node_directory::candidates(const service_name& service, const node_id& self,
+                                               const data_centre& centre)
+{
+    const auto known = this->listed.find(service);
+    if (known != this->listed.end()) {
+        return known->second;
+    }
     std::vector<vm_candidate> found;
     for (const auto& [node, entry] : this->entries) {
         if (entry.service == service) {
             found.push_back({node, entry.centre == centre, node == self});
         }
     }
-    return found;
+    return this->listed[service] = service_candidates{found};
 }
 
 std::size_t node_directory::count_upstreams(const service_name& service) const
--- a/src/mesh/node_directory.hpp
+++ b/src/mesh/node_directory.hpp
@@ -38,21 +38,23 @@
 /// The known nodes and the upstreams beside them.
 class node_directory {
 public:
-    void put(const node_entry& entry) { this->entries[entry.node] = entry; }
-    void remove(const node_id& node) { this->entries.erase(node); }
+    void put(const node_entry& entry);
+    void remove(const node_id& node);
 
     const node_entry* find(const node_id& node) const;
     std::size_t size() const { return this->entries.size(); }
     const std::map<node_id, node_entry>& all() const { return this->entries; }
 
-    /// The VMs whose upstream provides the service.
-    std::vector<vm_candidate> candidates(const service_name& service, const node_id& self,
-                                         const data_centre& centre) const;
+    /// The VMs whose upstream provides the service, as seen by the node `self` in `centre`. Listed
+    /// once for each change of the directory. Valid until the next change.
+    service_candidates& candidates(const service_name& service, const node_id& self,
+                                   const data_centre& centre);
 
     std::size_t count_upstreams(const service_name& service) const;
 
 private:
     std::map<node_id, node_entry> entries;
+    std::map<service_name, service_candidates> listed;
 };
 
 } // namespace dragonflyroad
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -91,6 +91,12 @@
     /// Slots that are offered or in use by runs.
     std::size_t busy_slot_count() const { return this->slots_in_use; }
     std::size_t queued_count() const { return this->queue.size(); }
+    std::size_t slot_count() const
+    {
+        return this->reports.current() ? this->reports.current()->slots : 0;
+    }
+    /// Runs that were sent to the upstream since this process started.
+    std::uint64_t runs_sent() const { return this->sent_runs; }
     std::uint64_t connections_opened() const { return this->pool.connections_opened(); }
     std::uint64_t foreign_responses() const { return this->pool.foreign_responses(); }
 
@@ -187,6 +193,7 @@
     std::function<void(const upstream_crash&)> crash_found;
     queue_ticket last_ticket = 0;
     std::size_t slots_in_use = 0;
+    std::uint64_t sent_runs = 0;
     time_point connect_backoff_until{};
     time_point last_call_failure_at{};
     /// When a request was last sent to the upstream.
--- a/src/mesh/upstream_runner_runs.cpp
+++ b/src/mesh/upstream_runner_runs.cpp
@@ -97,6 +97,7 @@
     entry->started_at = boot_clock::now();
     entry->deadline = entry->started_at + message.time_left;
     this->last_run_at = entry->started_at;
+    ++this->sent_runs;
     this->upstream_retries.record_sent(entry->reservation.retry_share, entry->started_at);
     entry->fingerprint = message.fingerprint;
     if (const auto id = find_header(message.head.headers, this->names.request_id)) {
--- a/test/correctness/test_dispatch.cpp
+++ b/test/correctness/test_dispatch.cpp
@@ -108,8 +108,8 @@
     const node_id down{"down"};
     const node_id other{"other"};
     places.record_unreachable(down, start);
-    const std::vector<vm_candidate> both{{down, true, false}, {other, false, false}};
-    CHECK(places.choose(both, 1, 0, random, start).front() == other);
+    service_candidates both{{{down, true, false}, {other, false, false}}};
+    CHECK(places.choose(both, {1, 0}, {}, random, start).front() == other);
     CHECK(places.is_unreachable(down, start));
     CHECK_FALSE(places.is_unreachable(down, start + 10s));
 }
@@ -122,12 +122,12 @@
     random_engine random{1};
     const node_id near{"near"};
     const node_id far{"far"};
-    const std::vector<vm_candidate> both{{near, true, false}, {far, false, false}};
+    service_candidates both{{{near, true, false}, {far, false, false}}};
     places.record_cost(near, 40ms, start);
-    CHECK(places.choose(both, 1, 500, random, start).front() == far);
-    CHECK(places.choose(both, 1, 90'000, random, start).front() == near);
+    CHECK(places.choose(both, {1, 500}, {}, random, start).front() == far);
+    CHECK(places.choose(both, {1, 90'000}, {}, random, start).front() == near);
     places.record_cost(near, 400ms, start);
-    CHECK(places.choose(both, 1, 90'000, random, start).front() == far);
+    CHECK(places.choose(both, {1, 90'000}, {}, random, start).front() == far);
 }
 
 // Guards against over-admission when one quota keeper succeeds another while isolated nodes admit
--- a/test/correctness/test_dispatched_request.cpp
+++ b/test/correctness/test_dispatched_request.cpp
@@ -117,3 +117,47 @@
     probe.offer(late, 0ms);
     CHECK(probe.receivers<run_message>() == std::vector{late});
 }
+
+// Guards against a request that goes to the VM that replies first although another one that was
+// asked has more free slots.
+TEST_CASE("of two offers the one of the less loaded upstream is accepted")
+{
+    request_probe probe{2};
+    probe.start("POST", false);
+    const auto asked = probe.receivers<reserve_message>();
+    REQUIRE(asked.size() == 2);
+    probe.offer(asked[0], 0ms, {3, 0, 4, 400ms});
+    CHECK(probe.receivers<run_message>().empty());
+    probe.offer(asked[1], 0ms, {1, 0, 4, 400ms});
+    CHECK(probe.receivers<run_message>() == std::vector{asked[1]});
+    CHECK(probe.receivers<release_reservation_message>() == std::vector{asked[0]});
+}
+
+// Guards against a request that waits for a VM that does not reply, and against further VMs that
+// are asked while a good offer is held.
+TEST_CASE("a good offer is accepted after a round trip though the other VM does not reply")
+{
+    request_probe probe{6};
+    probe.start("POST", false);
+    const auto asked = probe.receivers<reserve_message>();
+    REQUIRE(asked.size() == 2);
+    probe.offer(asked[0], 0ms, {3, 0, 4, 400ms});
+    CHECK(probe.receivers<run_message>().empty());
+    CHECK(probe.pass_until([&] { return !probe.receivers<run_message>().empty(); }));
+    CHECK(probe.receivers<run_message>() == std::vector{asked[0]});
+    CHECK(probe.receivers<reserve_message>().size() == 2);
+}
+
+// Guards against further VMs that are asked, and a request that fails for lack of retry budget,
+// although a good offer is held.
+TEST_CASE("a good offer is accepted when the other VM declines")
+{
+    request_probe probe{6};
+    probe.start("GET", false);
+    const auto asked = probe.receivers<reserve_message>();
+    REQUIRE(asked.size() == 2);
+    probe.offer(asked[0], 0ms, {3, 0, 4, 400ms});
+    probe.decline(asked[1], decline_reason::retry_budget_exhausted);
+    CHECK(probe.receivers<run_message>() == std::vector{asked[0]});
+    CHECK(probe.receivers<reserve_message>().size() == 2);
+}
--- a/test/support/request_probe.cpp
+++ b/test/support/request_probe.cpp
@@ -88,9 +88,11 @@
     return last;
 }
 
-void request_probe::offer(const node_id& vm, std::chrono::milliseconds cost)
+void request_probe::offer(const node_id& vm, std::chrono::milliseconds cost,
+                          const upstream_load_report& load)
 {
-    this->shared.receive(vm, reservation_accepted_message{this->last_terms(vm).id, true, cost});
+    this->shared.receive(vm,
+                         reservation_accepted_message{this->last_terms(vm).id, true, cost, load});
 }
 
 void request_probe::wait_at(const node_id& vm, std::chrono::milliseconds wait)
--- a/test/support/request_probe.hpp
+++ b/test/support/request_probe.hpp
@@ -26,7 +26,8 @@
     void start(const std::string& method, bool has_quota);
     void admit();
 
-    void offer(const dragonflyroad::node_id& vm, std::chrono::milliseconds cost);
+    void offer(const dragonflyroad::node_id& vm, std::chrono::milliseconds cost,
+               const dragonflyroad::upstream_load_report& load = {});
     void wait_at(const dragonflyroad::node_id& vm, std::chrono::milliseconds wait);
     void decline(const dragonflyroad::node_id& vm, dragonflyroad::decline_reason reason);
     void fail(const dragonflyroad::node_id& vm);
