Ask more VMs before a costly offer is accepted

An offer was held for 12 ms and then accepted if it was the cheapest of the two to four VMs that had been asked. Change: a costly offer is held for up to a quarter of its cost, 100 ms at most, while more VMs are asked two at a time (dispatch/offer_hold). Result: the test of a costly offer failed before and passes.

--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -1,5 +1,6 @@
 #include "mesh/dispatched_request.hpp"
 
+#include "dispatch/offer_hold.hpp"
 #include "mesh/reservation_round.hpp"
 
 #include <algorithm>
@@ -17,11 +18,6 @@
 /// them.
 constexpr milliseconds immediate_accept_cost{25};
 
-/// How long an offer is held while the replies of other VMs are awaited, and other VMs are asked if
-/// it is above that cost: one round trip between data centres plus the reply time of slow VMs. The
-/// offered slot is idle meanwhile.
-constexpr milliseconds offer_hold_limit{12};
-
 /// While the organisation's quota has no holder, its request is decided again after this pause, and
 /// refused this long after its arrival. The holder's planned stop leaves a gap of a few round trips
 /// to the store until the next node has claimed the group.
@@ -166,6 +162,7 @@
     this->accepts_probation = false;
     this->declined = this->attempted_vms;
     this->released_vms.clear();
+    this->first_offer_at = {};
     this->offer_hold_until = {};
     if (!this->reserve_more(initial_reservations)) {
         // Every upstream of the service was tried already; try them again rather than refuse.
@@ -237,8 +234,8 @@
     const time_point now = boot_clock::now();
     this->last_reply_at = now;
     found->second = {true, message.is_offer, message.cost, message.load};
-    if (message.is_offer && this->offer_hold_until == time_point{}) {
-        this->offer_hold_until = now + offer_hold_limit;
+    if (message.is_offer && this->first_offer_at == time_point{}) {
+        this->first_offer_at = now;
     }
     this->evaluate_replies();
 }
@@ -357,6 +354,7 @@
     }
     // An offered slot is idle, so at most one offer is held, and only briefly.
     this->release_offers(offered->vm);
+    this->offer_hold_until = offer_hold_deadline(this->first_offer_at, offered->cost);
     const bool is_held = boot_clock::now() < this->offer_hold_until;
     const bool may_be_compared = this->reservations.at(offered->vm).load.slots > 0 && is_held &&
                                  this->has_unanswered_reservation();
@@ -374,6 +372,7 @@
         return;
     }
     this->release_offers(std::nullopt);
+    this->first_offer_at = {};
     this->offer_hold_until = {};
 }
 
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -159,6 +159,8 @@
     /// When a VM last replied in this round; initially when the round began.
     time_point last_reply_at{};
     time_point next_reserve_at{};
+    /// When the first of the present offers came; zero without one.
+    time_point first_offer_at{};
     /// Until when an offer may be held while other VMs are asked; zero before the first offer.
     time_point offer_hold_until{};
     /// Whether the quota's holder counted the request.
--- a/test/correctness/test_dispatched_request.cpp
+++ b/test/correctness/test_dispatched_request.cpp
@@ -57,6 +57,37 @@
     CHECK(probe.receivers<release_reservation_message>() == std::vector{asked[1]});
 }
 
+// Guards against unsafe requests that run at an upstream which fails most of them while others have
+// free slots: the first offers were accepted after 12 ms, whatever they were expected to cost.
+TEST_CASE("more VMs are asked before a costly offer is accepted")
+{
+    request_probe probe{8};
+    probe.start("POST", false);
+    const auto asked = probe.receivers<reserve_message>();
+    REQUIRE(asked.size() == 2);
+    probe.offer(asked[0], 400ms);
+    probe.offer(asked[1], 500ms);
+    probe.pass(30ms);
+    CHECK(probe.receivers<run_message>().empty());
+    const auto later = probe.receivers<reserve_message>();
+    REQUIRE(later.size() > 2);
+    probe.offer(later[2], 0ms);
+    CHECK(probe.pass_until([&] { return !probe.receivers<run_message>().empty(); }));
+    CHECK(probe.receivers<run_message>() == std::vector{later[2]});
+}
+
+// Guards against a slot that stays idle beyond the search, and against a refusal after it.
+TEST_CASE("a costly offer is accepted when no other VM replies in time")
+{
+    request_probe probe{8};
+    probe.start("POST", false);
+    const auto asked = probe.receivers<reserve_message>();
+    probe.offer(asked[0], 400ms);
+    CHECK(probe.pass_until([&] { return !probe.receivers<run_message>().empty(); }));
+    CHECK(probe.receivers<run_message>() == std::vector{asked[0]});
+    CHECK_FALSE(probe.answer.has_value());
+}
+
 // Guards against refusing a request while an upstream that fails some requests has a free slot.
 TEST_CASE("an upstream whose offer was released is used when every other one declines")
 {
