--- a/test/correctness/test_vm_selector.cpp
+++ b/test/correctness/test_vm_selector.cpp
@@ -17,6 +17,7 @@
 std::vector<vm_candidate> vms_named(const std::string& prefix, int count, bool is_same_centre)
 {
     std::vector<vm_candidate> vms;
+    vms.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         vms.push_back({node_id{prefix + std::to_string(index)}, is_same_centre, false});
     }
