Give each test process its own ports

Cause: fleets of test processes of several work trees that run side by side bound the same ports from 23100 on. A run beside others' failed 7 checks of 'a running node takes a good settings file' and 4 of a new test; alone both passed. Change: the first port follows from the process id.

--- a/test/support/mesh_fleet.cpp
+++ b/test/support/mesh_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/check_in.hpp"
 #include "platform/configuration_decoder.hpp"
+#include "test_ports.hpp"
 
 #include <utility>
 
@@ -11,8 +12,7 @@
 
 namespace {
 
-/// Each VM uses three consecutive ports, which lie outside the ephemeral range.
-constexpr int first_port = 23100;
+/// Each VM uses three consecutive ports.
 constexpr int ports_per_vm = 3;
 
 /// Run time of an upstream that answers late, within the requests' deadline of 1.5 s.
@@ -20,7 +20,8 @@
 
 std::string address_of(std::size_t vm, int offset)
 {
-    return "127.0.0.1:" + std::to_string(first_port + static_cast<int>(vm) * ports_per_vm + offset);
+    return "127.0.0.1:" +
+           std::to_string(first_test_port() + static_cast<int>(vm) * ports_per_vm + offset);
 }
 
 mesh_settings settings_of(std::size_t vm, std::chrono::milliseconds stop_timeout)
