Bind what the fleet concludes from the store to its era

Cause: after the store came back from an older copy its revisions were lower than those known, so every node ignored all later entries; leases and claims that it had lost went on counting, and their numbers could be another node's. Answers of an ended era are dropped; calls answered in a later era than they were sent in prove nothing. The replica is of one era; a new one is read whole, from the store or from a node where the store turns this one away. The configuration in force stays. Leases, entry, claims and crashes are made again; holders of quota groups go on while their right lasts, new ones wait.

--- a/src/dispatch/change_source_selector.hpp
+++ b/src/dispatch/change_source_selector.hpp
@@ -33,6 +33,8 @@
     /// for a while. The next choose() returns the store unless the store has failed recently, so
     /// that the delays of several stale nodes in a row do not add up.
     void record_stale_node(const node_id& node, time_point now);
+    /// Makes the next choose() return the store unless the store has failed recently.
+    void prefer_store() { this->prefers_store_next = true; }
     /// Records that a call to the store failed; for a second, choose() prefers other nodes to the
     /// store.
     void record_store_failure(time_point now);
--- a/src/mesh/crash_publisher.cpp
+++ b/src/mesh/crash_publisher.cpp
@@ -23,6 +23,9 @@
 constexpr std::chrono::milliseconds retry_pause = 500ms;
 constexpr std::chrono::seconds give_up_after = 30s;
 
+/// Number of crashes that are written again in a new era of the store. Each takes two writes.
+constexpr std::size_t max_recent_crashes = 16;
+
 } // namespace
 
 crash_publisher::crash_publisher(boost::asio::io_context& loop, shared_store& platform_store,
@@ -38,28 +41,47 @@
     unwritten->key = this->keys.crash(
         fmt::format("{:016x}", stable_hash(crash.lifetime, stable_hash(node.value))));
     unwritten->value = crash.to_text();
-    unwritten->give_up_at = boot_clock::now() + give_up_after;
+    unwritten->published_at = boot_clock::now();
+    unwritten->give_up_at = unwritten->published_at + give_up_after;
+    this->recent.push_back(unwritten);
+    if (this->recent.size() > max_recent_crashes) {
+        this->recent.pop_front();
+    }
     this->request_lease(unwritten);
 }
 
+void crash_publisher::publish_again()
+{
+    const time_point now = boot_clock::now();
+    std::erase_if(this->recent, [&](const std::shared_ptr<entry>& known) {
+        return now > known->published_at + crash_time_to_live;
+    });
+    for (const auto& known : this->recent) {
+        known->give_up_at = now + give_up_after;
+        this->request_lease(known);
+    }
+}
+
 void crash_publisher::request_lease(const std::shared_ptr<entry>& unwritten)
 {
     this->store.grant_lease(crash_time_to_live,
                             [this, unwritten](std::optional<lease_grant> grant) {
                                 if (grant) {
-                                    this->write(unwritten, grant->lease);
+                                    this->write(unwritten, grant->lease, this->store.era());
                                     return;
                                 }
                                 this->retry_later(unwritten);
                             });
 }
 
-void crash_publisher::write(const std::shared_ptr<entry>& unwritten, store_lease lease)
+void crash_publisher::write(const std::shared_ptr<entry>& unwritten, store_lease lease,
+                            store_era granted_in)
 {
     commit_request request;
     request.writes.push_back({unwritten->key, unwritten->value, lease});
-    this->store.commit(request, [this, unwritten](commit_outcome outcome) {
-        if (outcome != commit_outcome::committed) {
+    this->store.commit(request, [this, unwritten, granted_in](commit_outcome outcome) {
+        // The lease's number may belong to another node in a later era.
+        if (outcome != commit_outcome::committed || granted_in != this->store.era()) {
             this->retry_later(unwritten);
         }
     });
--- a/src/mesh/crash_publisher.hpp
+++ b/src/mesh/crash_publisher.hpp
@@ -5,6 +5,7 @@
 #include "mesh/node_registration.hpp"
 #include "mesh/shared_store.hpp"
 
+#include <deque>
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
@@ -20,21 +21,26 @@
                     fleet_keys store_keys);
 
     void publish(const node_id& node, const upstream_crash& crash);
+    /// Writes the recent crashes again after the store has come back from an older copy, for nodes
+    /// that start later.
+    void publish_again();
 
 private:
     struct entry {
         std::string key;
         std::string value;
+        time_point published_at{};
         time_point give_up_at{};
     };
 
     void request_lease(const std::shared_ptr<entry>& unwritten);
-    void write(const std::shared_ptr<entry>& unwritten, store_lease lease);
+    void write(const std::shared_ptr<entry>& unwritten, store_lease lease, store_era granted_in);
     void retry_later(const std::shared_ptr<entry>& unwritten);
 
     boost::asio::io_context& context;
     shared_store& store;
     fleet_keys keys;
+    std::deque<std::shared_ptr<entry>> recent;
 };
 
 } // namespace dragonflyroad
--- a/src/mesh/fleet_view.cpp
+++ b/src/mesh/fleet_view.cpp
@@ -92,7 +92,7 @@
 
 bool fleet_view::has_changes_for(const follow_message& request) const
 {
-    return this->revision > request.after ||
+    return this->position > store_position{request.era, request.after} ||
            (this->table != nullptr && this->table->revision() > request.configuration);
 }
 
@@ -100,9 +100,15 @@
 {
     follow_reply_message reply;
     const time_point as_of = this->freshness.as_of();
+    const bool is_same_era = request.era == this->position.era;
+    const bool is_behind = request.era < this->position.era;
     reply.nonce = request.nonce;
-    reply.revision = this->revision;
-    reply.is_history_lost = request.after < this->removal_horizon;
+    reply.revision = this->position.revision;
+    reply.era = this->position.era;
+    // Most followers read a new era from the store: all items are large for the link of one VM.
+    reply.is_whole = is_behind && (request.after == 0 || request.wants_large_update);
+    reply.is_history_lost =
+        is_same_era ? request.after < this->removal_horizon : is_behind && !reply.is_whole;
     reply.has_proof = this->table != nullptr && as_of != time_point{};
     if (!reply.has_proof) {
         return reply;
@@ -114,7 +120,9 @@
         reply.configuration.clear();
     }
     for (const auto& [key, item] : this->items) {
-        if (item.revision > request.after) {
+        const bool is_change = is_same_era && item.revision > request.after;
+        const bool is_present = !item.is_removed && !this->unconfirmed_until.contains(key);
+        if (is_change || (reply.is_whole && is_present)) {
             reply.items.push_back(item);
         }
     }
@@ -153,6 +161,7 @@
 
 void fleet_view::remove_missing_nodes()
 {
+    this->drop_unconfirmed();
     const time_point now = boot_clock::now();
     for (const auto& [node, since] : std::map{this->missing_since}) {
         // Without a recent proof this node may miss changes, so a missing entry is no evidence that
--- a/src/mesh/fleet_view.hpp
+++ b/src/mesh/fleet_view.hpp
@@ -4,6 +4,7 @@
 #include "core/ids.hpp"
 #include "core/random.hpp"
 #include "dispatch/change_source_selector.hpp"
+#include "dispatch/era_settlement.hpp"
 #include "dispatch/freshness_proof.hpp"
 #include "mesh/configuration_history.hpp"
 #include "mesh/link_message.hpp"
@@ -29,6 +30,10 @@
 /// the holders of the quota groups. Changes come from a watch of the store or from following
 /// another node by long polling. A node is followed only while its replica is fresh enough. Both
 /// the store and a followed node prove up to which time no newer change existed.
+///
+/// The replica is of one era of the store. When the store has come back from an older copy, all
+/// items are read again; what is missing then was lost and is kept for a while, since its writer
+/// writes it again. The configuration in force stays, as its own revision decides.
 class fleet_view {
 public:
     using decode_function = std::function<std::optional<routing_table>(const std::string&)>;
@@ -36,7 +41,7 @@
     struct callbacks {
         decode_function decode_configuration;
         std::function<void(std::size_t group, const std::optional<std::string>& value,
-                           store_revision revision)>
+                           const store_position& changed_at)>
             group_changed;
         std::function<void()> own_entry_lost;
         /// The value of an entry by which a node reports a crash of its upstream.
@@ -70,7 +75,12 @@
     replica_status status(time_point now) const;
 
     /// Whether this node has read the fleet's entries from the store or from a node that has.
-    bool has_read_store() const { return this->revision != 0; }
+    bool has_read_store() const { return this->position.revision != 0; }
+
+    /// Whether the store's era began so long ago that no lease of an earlier one lasts.
+    bool is_era_settled() const;
+    /// Learns the era and the configuration that a follower states in its poll.
+    void note_follower(const node_id& from, const follow_message& request);
 
     /// The changes after the revisions stated in the request, with the age of this node's proof.
     follow_reply_message make_follow_reply(const follow_message& request) const;
@@ -88,7 +98,22 @@
     void watch_store();
     void on_watch(std::optional<stored_changes> changes, time_point sent_at);
     void follow(const node_id& node);
-    void on_follow_timeout();
+    void on_follow_timeout(std::uint64_t poll);
+    void receive_from_other_era(const node_id& from, const follow_reply_message& reply);
+    /// Records a proof of the followed node, which holds here if this node's configuration is at
+    /// least as new.
+    void record_followed_proof(const follow_reply_message& reply);
+    /// Records that the store's answer to a call sent at this time contained nothing newer.
+    void record_store_proof(time_point as_of);
+    void write_era_mark();
+    /// Whether the store has begun an era of which this node has read nothing.
+    bool is_behind_era() const;
+    /// Starts the replica of a new era; `first` is the position of its first answer.
+    void begin_era(const store_position& first, const std::string& source);
+    /// Applies all items of the store at a position. The others are gone.
+    void apply_whole(const std::vector<stored_item>& all, const store_position& at);
+    void keep_unconfirmed(const std::string& key);
+    void drop_unconfirmed();
     bool adopt_from(const node_id& from, const follow_reply_message& reply);
     void fetch_changes_after(std::chrono::milliseconds pause);
     void apply(const stored_item& item);
@@ -119,7 +144,11 @@
     std::map<std::string, stored_item> items;
     std::map<std::string, time_point> removed_at;
     std::map<node_id, time_point> missing_since;
-    store_revision revision = 0;
+    /// The items that the store has lost with an era, and until when their writers are expected to
+    /// write them again. An entry is kept as long as its lease could have lasted.
+    std::map<std::string, time_point> unconfirmed_until;
+    store_position position;
+    era_settlement settlement;
     /// Removals up to this revision may have been discarded.
     store_revision removal_horizon = 0;
     store_revision configuration_revision = 0;
@@ -135,6 +164,7 @@
     read_freshness first_read_freshness = read_freshness::newest;
     bool is_reachable = false;
     bool wants_large_update = false;
+    bool is_writing_mark = false;
 };
 
 } // namespace dragonflyroad
--- a/src/mesh/fleet_view_items.cpp
+++ b/src/mesh/fleet_view_items.cpp
@@ -3,9 +3,21 @@
 #include "adapters/log.hpp"
 #include "core/failure.hpp"
 
+#include <charconv>
 #include <utility>
 
 namespace dragonflyroad {
+namespace {
+
+/// The era in the mark; 0, which counts as no mark, when another writer has left something else.
+store_era era_in(const std::string& value)
+{
+    store_era era = 0;
+    const auto [end, fault] = std::from_chars(value.data(), value.data() + value.size(), era);
+    return fault == std::errc{} && end == value.data() + value.size() ? era : 0;
+}
+
+} // namespace
 
 void fleet_view::apply(const stored_item& item)
 {
@@ -21,6 +33,7 @@
         return;
     }
     this->items[item.key] = item;
+    this->unconfirmed_until.erase(item.key);
     this->removed_at.erase(item.key);
     if (item.is_removed) {
         this->removed_at[item.key] = boot_clock::now();
@@ -33,6 +46,9 @@
             this->handlers.crash_reported(item.key, item.value);
         }
     }
+    else if (item.key == this->keys.era()) {
+        this->settlement.record_mark(era_in(item.value));
+    }
     else {
         this->apply_group(item);
     }
@@ -54,6 +70,7 @@
         return;
     }
     this->configuration_rejection.clear();
+    this->settlement.record_configuration(item.revision, decoded->revision());
     if (this->table == nullptr || decoded->revision() > this->table->revision()) {
         this->history.add(*decoded);
     }
@@ -66,6 +83,7 @@
         return;
     }
     log_line{"configuration"}.add("revision", next.revision()).add("source", source);
+    this->settlement.note_version(next.revision());
     this->table = std::make_shared<const routing_table>(std::move(next));
     this->adopted_at = boot_clock::now();
 }
@@ -97,8 +115,9 @@
 {
     for (std::size_t group = 0; group < quota_group_count; ++group) {
         if (this->keys.group(group) == item.key) {
-            this->handlers.group_changed(
-                group, item.is_removed ? std::nullopt : std::optional{item.value}, item.revision);
+            this->handlers.group_changed(group,
+                                         item.is_removed ? std::nullopt : std::optional{item.value},
+                                         {this->position.era, item.revision});
         }
     }
 }
--- a/src/mesh/fleet_view_sources.cpp
+++ b/src/mesh/fleet_view_sources.cpp
@@ -60,7 +60,7 @@
     this->store_failure = reachable ? "" : detail;
     if (std::exchange(this->is_reachable, reachable) != reachable) {
         log_line{reachable ? "store_regained" : "store_lost"}
-            .add("revision", this->revision)
+            .add("revision", this->position.revision)
             .add("detail", detail);
     }
 }
@@ -76,38 +76,48 @@
 
 void fleet_view::on_read(std::optional<stored_range> range, time_point proved_at)
 {
+    this->wants_large_update = !range;
     if (!range) {
         this->record_store_result(false, last_failure().detail);
         this->fetch_changes_after(retry_interval);
         return;
     }
     this->record_store_result(true, "");
-    std::set<std::string> present;
-    for (const stored_item& item : range->items) {
-        present.insert(item.key);
-        this->apply(item);
+    if (range->era < this->position.era) {
+        this->fetch_changes_after(retry_interval);
+        return;
     }
-    for (const auto& [key, known] : std::map{this->items}) {
-        if (!present.contains(key) && !known.is_removed && known.revision <= range->revision) {
-            this->apply({key, "", range->revision, true});
-        }
+    const store_position read_at{range->era, range->revision};
+    if (!this->has_read_store() || read_at.era > this->position.era) {
+        this->begin_era(read_at, "store");
     }
-    this->revision = std::max(this->revision, range->revision);
-    this->freshness.record_proof(proved_at);
+    this->apply_whole(range->items, read_at);
+    this->record_store_proof(proved_at);
     this->handlers.changed();
     this->fetch_changes();
 }
 
+bool fleet_view::is_behind_era() const
+{
+    return this->has_read_store() && this->position.era < this->store.era();
+}
+
 void fleet_view::fetch_changes()
 {
+    if (this->is_behind_era()) {
+        this->source_choice->prefer_store();
+    }
     const auto source = this->source_choice->choose(this->centre_nodes(), this->live_nodes(),
                                                     this->random, boot_clock::now());
     if (source) {
         this->follow(*source);
     }
-    else if (this->revision == 0) {
+    else if (!this->has_read_store()) {
         this->read_all(this->first_read_freshness);
     }
+    else if (this->is_behind_era()) {
+        this->read_all(read_freshness::newest);
+    }
     else {
         this->watch_store();
     }
@@ -116,7 +126,7 @@
 void fleet_view::watch_store()
 {
     const time_point sent_at = boot_clock::now();
-    this->store.watch("", this->revision, watch_time,
+    this->store.watch("", this->position.revision, watch_time,
                       [this, sent_at](std::optional<stored_changes> changes) {
                           this->on_watch(std::move(changes), sent_at);
                       });
@@ -130,20 +140,26 @@
         return;
     }
     this->record_store_result(true, "");
-    if (changes->is_history_lost) {
-        log_line{"store_history_lost"}.add("revision", this->revision);
+    if (changes->is_history_lost || changes->era != this->position.era) {
+        log_line{"store_history_lost"}
+            .add("revision", this->position.revision)
+            .add("era", this->position.era)
+            .add("answer_era", changes->era);
         this->read_all(read_freshness::newest);
         return;
     }
     for (const stored_item& item : changes->items) {
         this->apply(item);
     }
-    this->revision = std::max(this->revision, changes->revision);
+    this->position.revision = std::max(this->position.revision, changes->revision);
     // A watch that ran for its full time proves that there were no changes until its end. A watch
     // that returned early proves only that nothing newer existed when it was sent.
     const time_point now = boot_clock::now();
     const bool ran_full = changes->items.empty() && now >= sent_at + watch_time;
-    this->freshness.record_proof(ran_full ? sent_at + watch_time : sent_at);
+    this->record_store_proof(ran_full ? sent_at + watch_time : sent_at);
+    if (this->settlement.should_mark(now)) {
+        this->write_era_mark();
+    }
     if (changes->items.empty()) {
         this->fetch_changes();
         return;
@@ -156,14 +172,15 @@
 void fleet_view::follow(const node_id& node)
 {
     if (this->followed != node) {
-        log_line{"follow"}.add("node", node.value).add("revision", this->revision);
+        log_line{"follow"}.add("node", node.value).add("revision", this->position.revision);
     }
     this->followed = node;
     this->followed_at = boot_clock::now();
     ++this->nonce;
     follow_message request;
     request.nonce = this->nonce;
-    request.after = this->revision;
+    request.after = this->position.revision;
+    request.era = this->position.era;
     request.configuration = this->table == nullptr ? 0 : this->table->revision();
     const node_entry* source = this->directory.find(node);
     const bool is_relay = source != nullptr && source->centre != this->self.centre;
@@ -171,16 +188,21 @@
     request.wait = wait;
     request.wants_large_update = this->wants_large_update;
     this->fetch_timer.expires_after(wait + follow_reply_margin);
-    this->fetch_timer.async_wait([this](const boost::system::error_code& error) {
-        if (!error) {
-            this->on_follow_timeout();
-        }
-    });
+    this->fetch_timer.async_wait(
+        [this, poll = this->nonce](const boost::system::error_code& error) {
+            if (!error) {
+                this->on_follow_timeout(poll);
+            }
+        });
     this->handlers.send(node, request);
 }
 
-void fleet_view::on_follow_timeout()
+void fleet_view::on_follow_timeout(std::uint64_t poll)
 {
+    // The timer may have expired before a reply that was handled first.
+    if (poll != this->nonce || !this->followed) {
+        return;
+    }
     this->source_choice->record_stale_node(*this->followed, boot_clock::now());
     this->followed.reset();
     this->fetch_changes();
@@ -191,8 +213,9 @@
     if (reply.nonce != this->nonce || this->followed != from) {
         return;
     }
+    ++this->nonce;
     this->fetch_timer.cancel();
-    const time_point now = boot_clock::now();
+    this->store.learn_era(reply.era, from.value);
     const bool lacks_configuration =
         reply.configuration.empty() &&
         (this->table == nullptr || this->table->revision() < reply.configuration_revision);
@@ -200,36 +223,78 @@
         this->read_configuration();
         return;
     }
+    if (reply.era != this->position.era) {
+        this->receive_from_other_era(from, reply);
+        return;
+    }
     if (!reply.has_proof || reply.proof_age > max_followed_proof_age || reply.is_history_lost ||
-        reply.revision < this->revision || !this->adopt_from(from, reply)) {
-        this->source_choice->record_stale_node(from, now);
+        reply.revision < this->position.revision || !this->adopt_from(from, reply)) {
+        this->source_choice->record_stale_node(from, boot_clock::now());
         this->followed.reset();
         if (reply.is_history_lost) {
             this->read_all(read_freshness::newest);
             return;
         }
-        // The sender's proof applies to this node as well if this node's configuration is at least
-        // as new.
-        if (reply.has_proof && this->table != nullptr &&
-            this->table->revision() >= reply.configuration_revision) {
-            this->freshness.record_proof(this->followed_at - reply.proof_age);
-        }
+        this->record_followed_proof(reply);
         this->fetch_changes_after(watch_pause);
         return;
     }
     for (const stored_item& item : reply.items) {
         this->apply(item);
     }
-    this->revision = reply.revision;
-    // The reply was created after the request was sent, so this is a lower bound on the time of the
-    // sender's proof.
-    this->freshness.record_proof(this->followed_at - reply.proof_age);
+    this->position.revision = reply.revision;
+    this->record_followed_proof(reply);
     if (!reply.items.empty() || !reply.configuration.empty()) {
         this->handlers.changed();
     }
     this->fetch_changes_after(watch_pause);
 }
 
+void fleet_view::receive_from_other_era(const node_id& from, const follow_reply_message& reply)
+{
+    const bool is_fresh = reply.has_proof && reply.proof_age <= max_followed_proof_age;
+    const bool has_configuration = reply.has_proof && this->adopt_from(from, reply);
+    if (has_configuration) {
+        this->record_followed_proof(reply);
+    }
+    if (reply.era < this->position.era) {
+        // The node learns of the era from this node's poll and is asked again.
+        if (!is_fresh) {
+            this->source_choice->record_stale_node(from, boot_clock::now());
+            this->followed.reset();
+        }
+        this->fetch_changes_after(retry_interval);
+        return;
+    }
+    if (!reply.is_whole || !is_fresh || !has_configuration) {
+        this->read_all(read_freshness::newest);
+        return;
+    }
+    const store_position at{reply.era, reply.revision};
+    this->begin_era(at, from.value);
+    this->apply_whole(reply.items, at);
+    this->wants_large_update = false;
+    this->handlers.changed();
+    this->fetch_changes_after(watch_pause);
+}
+
+void fleet_view::record_followed_proof(const follow_reply_message& reply)
+{
+    // The reply was created after the request was sent, so this is a lower bound on the time of the
+    // sender's proof.
+    if (reply.has_proof && this->table != nullptr &&
+        this->table->revision() >= reply.configuration_revision) {
+        this->freshness.record_proof(this->followed_at - reply.proof_age);
+    }
+}
+
+void fleet_view::record_store_proof(time_point as_of)
+{
+    if (!this->is_behind_era() && this->settlement.proves_currency(as_of)) {
+        this->freshness.record_proof(as_of);
+    }
+}
+
 void fleet_view::read_configuration()
 {
     const auto newest = read_freshness::newest;
--- a/src/mesh/held_lease.cpp
+++ b/src/mesh/held_lease.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace dragonflyroad {
@@ -57,9 +58,10 @@
             }
             this->retry.record_success();
             this->lease = granted->lease;
-            this->granted_time = granted->time_to_live;
-            this->valid_until = sent_at + granted->time_to_live - validity_margin;
-            this->next_call = sent_at + granted->time_to_live / renewals_per_lease;
+            // A longer time is not used: group_tenure relies on the requested one as a bound.
+            this->granted_time = std::min(granted->time_to_live, this->requested_time);
+            this->valid_until = sent_at + this->granted_time - validity_margin;
+            this->next_call = sent_at + this->granted_time / renewals_per_lease;
             this->handlers.granted();
         });
 }
@@ -103,6 +105,13 @@
     this->maintain(boot_clock::now());
 }
 
+void held_lease::begin_era(time_point request_at)
+{
+    this->lease = 0;
+    this->valid_until = {};
+    this->next_call = request_at;
+}
+
 void held_lease::end()
 {
     this->is_wanted = false;
--- a/src/mesh/held_lease.hpp
+++ b/src/mesh/held_lease.hpp
@@ -33,10 +33,15 @@
     void on_ended();
     /// Ends the lease in the store.
     void end();
+    /// Forgets the lease of an ended era, which the store may have lost and whose number it may
+    /// have given to another node. The next one is requested from `request_at` on.
+    void begin_era(time_point request_at);
 
     /// The lease, 0 while there is none.
     store_lease id() const { return this->lease; }
     bool is_valid(time_point now) const { return this->lease != 0 && now < this->valid_until; }
+    /// The time up to which the lease is certain to last.
+    time_point certain_until() const { return this->valid_until; }
 
 private:
     void request();
--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -64,6 +64,9 @@
     requires std::is_enum_v<Enumeration>
     void operator()(Enumeration value) { this->fields.push_back(static_cast<int>(value)); }
 
+    /// A field that other versions may lack; the last ones of a message.
+    void optional(const auto& value) { (*this)(value); }
+
     json fields;
 };
 
@@ -77,6 +80,14 @@
         this->read(this->fields.at(this->next++), value);
     }
 
+    template<typename Value>
+    void optional(Value& value)
+    {
+        if (!this->is_finished()) {
+            (*this)(value);
+        }
+    }
+
     bool is_finished() const { return this->next == this->fields.size(); }
 
 private:
@@ -183,12 +194,14 @@
     else if constexpr (std::is_same_v<type, follow_message>) {
         archive(message.nonce), archive(message.after), archive(message.configuration);
         archive(message.wait), archive(message.wants_large_update);
+        archive.optional(message.era);
     }
     else if constexpr (std::is_same_v<type, follow_reply_message>) {
         archive(message.nonce), archive(message.revision), archive(message.is_history_lost);
         archive(message.has_proof), archive(message.proof_age);
         archive(message.configuration_revision), archive(message.configuration);
         archive(message.items);
+        archive.optional(message.era), archive.optional(message.is_whole);
     }
     else if constexpr (requires { message.id; }) {
         archive(message.id);
--- a/src/mesh/link_message.hpp
+++ b/src/mesh/link_message.hpp
@@ -155,8 +155,11 @@
     store_revision after = 0;
     revision_number configuration = 0;
     std::chrono::milliseconds wait{0};
-    /// The sender cannot read the store, so it needs the configuration update even if it is large.
+    /// The sender cannot read the store, so it needs the configuration update even if it is large,
+    /// and all items when it is behind by an era.
     bool wants_large_update = false;
+    /// The era of `after`.
+    store_era era = 0;
 };
 
 struct follow_reply_message {
@@ -173,6 +176,10 @@
     /// is large and should be read from the store.
     std::string configuration;
     std::vector<stored_item> items;
+    /// The era of `revision` and of the items.
+    store_era era = 0;
+    /// The items are all that the sender knows, so the receiver removes the others.
+    bool is_whole = false;
 };
 
 /// Probe and reply that detect a dead link while traffic is expected on it.
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -58,6 +58,7 @@
                                                  : 0;
           },
           this->requests.crashes),
+      shared(store),
       registration(loop, store, this->options.keys, this->registration_callbacks()),
       crash_reports(loop, store, this->options.keys),
       view(loop, store, this->requests.directory, this->options.configuration_key,
@@ -95,8 +96,8 @@
     fleet_view::callbacks functions;
     functions.decode_configuration = std::move(decode);
     functions.group_changed = [this](std::size_t group, const std::optional<std::string>& value,
-                                     store_revision revision) {
-        this->registration.on_group_changed(group, value, revision);
+                                     const store_position& changed_at) {
+        this->registration.on_group_changed(group, value, changed_at);
     };
     functions.entry_written = [this](const node_id& node) {
         this->requests.selector.record_reachable(node);
@@ -117,6 +118,8 @@
     node_registration::callbacks functions;
     functions.group_lost = [this](std::size_t group) { this->quota.drop_group(group); };
     functions.live_nodes = [this] { return this->view.serving_nodes(); };
+    functions.is_era_settled = [this] { return this->view.is_era_settled(); };
+    functions.era_begun = [this] { this->crash_reports.publish_again(); };
     return functions;
 }
 
@@ -398,6 +401,7 @@
         this->quota.handle_refund(*returned);
     }
     else if (const auto* poll = std::get_if<follow_message>(&message)) {
+        this->view.note_follower(from, *poll);
         this->feed.poll(from, *poll, reply);
     }
     else {
@@ -486,6 +490,14 @@
         const std::chrono::duration<double> age = boot_clock::now() - this->view.proof().as_of();
         return age.count();
     });
+    counters.add_metric_callback("store_era", "gauge",
+                                 [this] { return static_cast<double>(this->shared.era()); });
+    counters.add_metric_callback("store_era_changes_total", "counter", [this] {
+        return static_cast<double>(this->shared.eras().rise_count());
+    });
+    counters.add_metric_callback("store_answers_outdated_total", "counter", [this] {
+        return static_cast<double>(this->shared.eras().outdated_count());
+    });
     counters.add_metric_callback("settings_reloads_total", "counter", [this] {
         return static_cast<double>(this->settings_in_force.reloads);
     });
--- a/src/mesh/mesh_node.hpp
+++ b/src/mesh/mesh_node.hpp
@@ -118,6 +118,7 @@
     incarnation own_incarnation = 0;
     dispatcher requests;
     upstream_runner runner;
+    shared_store& shared;
     node_registration registration;
     crash_publisher crash_reports;
     fleet_view view;
--- a/src/mesh/node_registration.cpp
+++ b/src/mesh/node_registration.cpp
@@ -1,9 +1,8 @@
 #include "mesh/node_registration.hpp"
 
-#include "adapters/log.hpp"
 #include "core/digest.hpp"
 
-#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace dragonflyroad {
@@ -26,9 +25,6 @@
 constexpr milliseconds first_retry_pause{250};
 constexpr milliseconds longest_retry_pause{1'000};
 
-/// Pause after a claim, in which the watch is expected to report who holds the group.
-constexpr milliseconds claim_pause{250};
-
 constexpr milliseconds maintenance_interval{100};
 
 /// Delay of the first write of the entry. The upstream's first check-in arrives within 1.5 s, so
@@ -39,25 +35,14 @@
 /// each other.
 constexpr milliseconds first_claim_delay{2'200};
 
-/// Additional delay per claim rank before a node claims a vacant group, so that usually only one
-/// node does.
-constexpr milliseconds claim_delay_per_rank{150};
-constexpr std::size_t last_claim_rank = 8;
-
-/// Upper bound on the value of a group: the name of a node and its lease.
-constexpr std::size_t max_group_value_bytes = 512;
+/// The nodes of a large fleet write their entries again within this time of a new era, so that the
+/// two writes of each stay below the store's limit of writes per second. Together with the time in
+/// which they learn of the era, the entries are back within two seconds.
+constexpr milliseconds entry_rewrite_spread{800};
 
-/// The node in a group's value, "NODE LEASE". Nothing when another writer has left something else;
-/// the group then counts as vacant.
-std::optional<node_id> holder_in(const std::string& value)
-{
-    const std::size_t space = value.find(' ');
-    if (value.size() > max_group_value_bytes || space == 0 || space == std::string::npos ||
-        value.find_first_not_of("0123456789", space + 1) != std::string::npos) {
-        return std::nullopt;
-    }
-    return node_id{value.substr(0, space)};
-}
+/// Time for which the nodes that did not hold a group leave its claim to the former holder, which
+/// goes on without a pause.
+constexpr milliseconds former_holder_precedence{600};
 
 } // namespace
 
@@ -70,16 +55,18 @@
       commit_retry(first_retry_pause, longest_retry_pause),
       entry_lease(
           platform_store, entry_time_to_live,
-          {[this] { this->is_entry_written = false; }, [this] { this->is_entry_written = false; }}),
+          {[this] { this->on_entry_lease_granted(); }, [this] { this->is_entry_written = false; }}),
       group_lease(
           platform_store, group_time_to_live,
-          {[this] { this->claim_groups(boot_clock::now()); }, [this] { this->lose_groups(); }})
+          {[this] { this->claim_groups(boot_clock::now()); }, [this] { this->lose_groups(); }}),
+      tenure(group_time_to_live)
 {
 }
 
-std::string node_registration::group_value() const
+void node_registration::on_entry_lease_granted()
 {
-    return this->self.node.value + ' ' + std::to_string(this->group_lease.id());
+    this->sync_era();
+    this->is_entry_written = false;
 }
 
 void node_registration::start(const node_entry& own)
@@ -104,16 +91,36 @@
     this->write_entry();
 }
 
-void node_registration::lose_groups()
+void node_registration::sync_era()
 {
-    for (const std::size_t group : std::exchange(this->held_groups, {})) {
-        this->handlers.group_lost(group);
+    const std::optional<store_era> newest = this->store.eras().known();
+    if (newest == this->era) {
+        return;
     }
-}
-
-bool node_registration::holds_group(std::size_t group) const
-{
-    return this->held_groups.contains(group) && this->group_lease.is_valid(boot_clock::now());
+    const bool is_first = !this->era;
+    this->era = newest;
+    const time_point now = boot_clock::now();
+    const bool held_any = this->tenure.holds_any();
+    this->tenure.begin_era(now, this->group_lease.certain_until());
+    if (is_first) {
+        // What this node asked for before the first answer belongs to the era of that answer.
+        return;
+    }
+    // A second era in quick succession leaves the holders that may still admit in place.
+    if (now >= this->former_holders_until) {
+        this->former_holders = this->holders;
+        this->former_holders_until = now + group_time_to_live;
+    }
+    this->holders.fill(std::nullopt);
+    this->group_revisions.fill(0);
+    this->vacant_since.fill(now + former_holder_precedence);
+    this->group_lease.begin_era(now);
+    this->group_lease.set_wanted(held_any && !this->is_stopping);
+    const std::uint64_t spread = stable_hash(this->self.node.value, *this->era) %
+                                 static_cast<std::uint64_t>(entry_rewrite_spread.count());
+    this->entry_lease.begin_era(now + milliseconds{static_cast<std::int64_t>(spread)});
+    this->is_entry_written = false;
+    this->handlers.era_begun();
 }
 
 void node_registration::write_entry()
@@ -124,12 +131,16 @@
     }
     this->is_writing_entry = true;
     const node_entry written = this->self;
+    const store_lease used = this->entry_lease.id();
     commit_request request;
-    request.writes.push_back(
-        {this->keys.vm(written.node), written.to_text(), this->entry_lease.id()});
-    this->store.commit(request, [this, written](commit_outcome outcome) {
+    request.writes.push_back({this->keys.vm(written.node), written.to_text(), used});
+    this->store.commit(request, [this, written, used](commit_outcome outcome) {
         this->is_writing_entry = false;
         this->record_commit(outcome);
+        this->sync_era();
+        if (used != this->entry_lease.id()) {
+            return;
+        }
         if (outcome == commit_outcome::committed) {
             this->is_entry_written = written == this->self;
         }
@@ -156,103 +167,6 @@
     }
 }
 
-void node_registration::on_group_changed(std::size_t group, const std::optional<std::string>& value,
-                                         store_revision revision)
-{
-    this->holders[group].reset();
-    this->vacant_since[group] = std::max(this->vacant_since[group], boot_clock::now());
-    if (value) {
-        this->holders[group] = holder_in(*value);
-        if (!this->holders[group]) {
-            log_line{"group_entry_rejected"}.add("group", group).add("bytes", value->size());
-        }
-    }
-    // The reply to a claim may have been lost, so the claim is recognised by its value here. The
-    // lease in the value distinguishes it from a claim of an earlier process of this node.
-    const bool is_current_claim =
-        value && *value == this->group_value() && this->group_lease.id() != 0 && !this->is_stopping;
-    if (is_current_claim) {
-        this->held_groups.insert(group);
-        return;
-    }
-    if (this->held_groups.erase(group) > 0) {
-        this->handlers.group_lost(group);
-    }
-    // An earlier process of this node has certainly ended, so its groups are claimed without
-    // waiting for its lease to expire.
-    const bool is_from_earlier_process = value && this->holders[group] == this->self.node;
-    if (is_from_earlier_process && !this->is_stopping && !this->groups_in_claim.contains(group)) {
-        this->claim(group, revision);
-    }
-    this->group_revisions[group] = value ? revision : 0;
-    if (!this->holders[group] && this->commit_retry.is_due(boot_clock::now())) {
-        this->claim_groups(boot_clock::now());
-    }
-}
-
-std::size_t node_registration::claim_rank(std::size_t group) const
-{
-    const auto weight = [&](const node_id& node) {
-        return stable_hash(this->keys.group(group) + node.value);
-    };
-    const std::uint64_t own = weight(this->self.node);
-    return static_cast<std::size_t>(std::ranges::count_if(
-        this->handlers.live_nodes(), [&](const node_id& node) { return weight(node) > own; }));
-}
-
-void node_registration::claim_groups(time_point now)
-{
-    if (this->is_stopping) {
-        return;
-    }
-    for (std::size_t group = 0; group < quota_group_count; ++group) {
-        if (this->groups_in_claim.contains(group) || this->held_groups.contains(group)) {
-            continue;
-        }
-        if (this->holders[group] == this->self.node) {
-            this->claim(group, this->group_revisions[group]);
-            continue;
-        }
-        if (this->holders[group] || now < this->vacant_since[group]) {
-            continue;
-        }
-        const std::size_t rank = std::min(this->claim_rank(group), last_claim_rank);
-        if (now >=
-            this->vacant_since[group] + claim_delay_per_rank * static_cast<std::int64_t>(rank)) {
-            this->claim(group, this->group_revisions[group]);
-        }
-    }
-}
-
-void node_registration::claim(std::size_t group, store_revision expected)
-{
-    if (!this->group_lease.is_valid(boot_clock::now())) {
-        // The claims that are due are made once the lease is granted.
-        this->group_lease.set_wanted(true);
-        this->group_lease.maintain(boot_clock::now());
-        return;
-    }
-    this->groups_in_claim.insert(group);
-    const store_lease used = this->group_lease.id();
-    commit_request request;
-    request.conditions.push_back({this->keys.group(group), expected});
-    request.writes.push_back({this->keys.group(group), this->group_value(), used});
-    this->store.commit(request, [this, group, used](commit_outcome outcome) {
-        this->groups_in_claim.erase(group);
-        this->record_commit(outcome);
-        this->vacant_since[group] = boot_clock::now() + claim_pause;
-        if (outcome == commit_outcome::lease_ended && used == this->group_lease.id()) {
-            this->group_lease.on_ended();
-        }
-        if (outcome == commit_outcome::committed && used == this->group_lease.id() &&
-            !this->is_stopping) {
-            this->holders[group] = this->self.node;
-            this->held_groups.insert(group);
-            log_line{"quota_group_held"}.add("group", group);
-        }
-    });
-}
-
 void node_registration::arm_timer()
 {
     this->timer.expires_after(maintenance_interval);
@@ -266,9 +180,11 @@
 
 void node_registration::maintain()
 {
+    this->sync_era();
     const time_point now = boot_clock::now();
+    this->release_lapsed_groups(now);
     this->entry_lease.maintain(now);
-    const bool needs_group_lease = !this->held_groups.empty() || !this->groups_in_claim.empty();
+    const bool needs_group_lease = this->tenure.holds_any() || !this->groups_in_claim.empty();
     if (this->group_lease.is_valid(now)) {
         this->group_lease.set_wanted(needs_group_lease);
     }
@@ -284,26 +200,45 @@
 
 void node_registration::begin_stop()
 {
+    this->sync_era();
     this->is_stopping = true;
     this->self.service = {};
     commit_request request;
     request.writes.push_back(
         {this->keys.vm(this->self.node), this->self.to_text(), this->entry_lease.id()});
-    for (const std::size_t group : std::exchange(this->held_groups, {})) {
-        request.removals.push_back(this->keys.group(group));
-        this->handlers.group_lost(group);
+    for (std::size_t group = 0; group < quota_group_count; ++group) {
+        // The condition keeps a claim of another node that was made in a later era.
+        if (this->tenure.is_held(group) && this->group_revisions[group] != 0) {
+            request.conditions.push_back({this->keys.group(group), this->group_revisions[group]});
+            request.removals.push_back(this->keys.group(group));
+        }
+        this->release_group(group);
     }
-    if (this->entry_lease.id() != 0) {
-        this->is_entry_written = true;
+    // Without a lease, maintain() writes the entry once a new one is granted.
+    this->is_entry_written = this->entry_lease.id() != 0;
+    if (this->is_entry_written) {
         this->store.commit(request, [this](commit_outcome outcome) {
-            this->is_entry_written = outcome == commit_outcome::committed;
+            this->sync_era();
+            this->is_entry_written = this->is_entry_written && outcome == commit_outcome::committed;
         });
     }
 }
 
+void node_registration::remove_entry()
+{
+    commit_request request;
+    request.removals.push_back(this->keys.vm(this->self.node));
+    this->store.commit(request, [](commit_outcome) {});
+}
+
 void node_registration::finish_stop()
 {
+    this->sync_era();
     this->timer.cancel();
+    if (this->entry_lease.id() == 0 && this->era.value_or(0) != 0) {
+        // No lease was granted in this era yet, but the older copy may hold the entry.
+        this->remove_entry();
+    }
     this->entry_lease.end();
     this->group_lease.end();
 }
--- a/src/mesh/node_registration.hpp
+++ b/src/mesh/node_registration.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "core/retry_backoff.hpp"
+#include "dispatch/group_tenure.hpp"
 #include "mesh/held_lease.hpp"
 #include "mesh/node_directory.hpp"
 #include "mesh/quota_coordinator.hpp"
@@ -25,6 +26,8 @@
 struct fleet_keys {
     std::string prefix = "dragonflyroad/";
 
+    /// The mark of the era that has settled; see era_settlement.
+    std::string era() const { return this->prefix + "era"; }
     std::string vm(const node_id& node) const { return this->prefix + "vm/" + node.value; }
     std::string crash(const std::string& name) const { return this->prefix + "crash/" + name; }
     std::string group(std::size_t number) const
@@ -43,6 +46,10 @@
         /// The live nodes whose upstream accepts work. They are ranked to decide the order of
         /// claims on a vacant group.
         std::function<std::vector<node_id>()> live_nodes;
+        /// Whether the store's era began so long ago that no lease of an earlier one lasts.
+        std::function<bool()> is_era_settled;
+        /// A new era of the store was seen, so what this node wrote may be gone.
+        std::function<void()> era_begun;
     };
 
     node_registration(boost::asio::io_context& loop, shared_store& platform_store,
@@ -59,17 +66,25 @@
 
     /// Handles a change of a group's item in the store; `value` is empty when it was removed.
     void on_group_changed(std::size_t group, const std::optional<std::string>& value,
-                          store_revision revision);
+                          const store_position& changed_at);
     /// Handles the removal of this node's entry from the store.
     void on_entry_lost();
 
-    /// The node that claimed the group last, or nothing while the group is vacant.
-    std::optional<node_id> group_holder(std::size_t group) const { return this->holders.at(group); }
-    /// Whether this node holds the group under a valid lease.
-    bool holds_group(std::size_t group) const;
+    /// The node that claimed the group last, or nothing while the group is vacant. While no holder
+    /// of a new era may admit yet, the holder in the ended one, whose right may still last.
+    std::optional<node_id> group_holder(std::size_t group) const;
+    /// Whether this node may admit requests for the group; see group_tenure.
+    bool holds_group(std::size_t group);
 
 private:
+    /// Takes note of a new era of the store: leases, entry and claims of the ended one don't count.
+    void sync_era();
+    void release_lapsed_groups(time_point now);
+    void release_group(std::size_t group);
+    std::vector<std::size_t> held_groups() const;
     void lose_groups();
+    void remove_entry();
+    void on_entry_lease_granted();
     void write_entry();
     /// Updates the retry backoff of commits.
     void record_commit(commit_outcome outcome);
@@ -77,7 +92,8 @@
     void claim(std::size_t group, store_revision expected);
     /// The number of live nodes that claim the group before this one.
     std::size_t claim_rank(std::size_t group) const;
-    /// The value of a group's item while this node holds it: node id and lease.
+    /// The value of a group's item while this node holds it: node id, lease and, where the store
+    /// states one, the era of the lease.
     std::string group_value() const;
     void arm_timer();
     void maintain();
@@ -94,7 +110,11 @@
     std::array<std::optional<node_id>, quota_group_count> holders;
     std::array<store_revision, quota_group_count> group_revisions{};
     std::array<time_point, quota_group_count> vacant_since{};
-    std::set<std::size_t> held_groups;
+    group_tenure tenure;
+    std::array<std::optional<node_id>, quota_group_count> former_holders;
+    time_point former_holders_until{};
+    /// The era that leases, entry and claims belong to; nothing before the store's first answer.
+    std::optional<store_era> era;
     std::set<std::size_t> groups_in_claim;
     bool is_entry_written = false;
     bool is_writing_entry = false;
--- a/src/mesh/shared_store.hpp
+++ b/src/mesh/shared_store.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "dispatch/store_era_tracker.hpp"
+#include "dispatch/store_position.hpp"
+
 #include <chrono>
-#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -9,9 +11,6 @@
 
 namespace dragonflyroad {
 
-using store_revision = std::uint64_t;
-using store_lease = std::uint64_t;
-
 struct stored_item {
     std::string key;
     std::string value;
@@ -24,14 +23,16 @@
 struct stored_range {
     std::vector<stored_item> items;
     store_revision revision = 0;
+    store_era era = 0;
 };
 
 struct stored_changes {
     std::vector<stored_item> items;
     store_revision revision = 0;
-    /// The store has discarded changes after the requested revision, so all items must be read
-    /// again.
+    /// The store has discarded changes after the requested revision, or the revision is of an era
+    /// that has ended, so all items must be read again.
     bool is_history_lost = false;
+    store_era era = 0;
 };
 
 /// Condition of a commit: the key must not have changed after this revision; 0 means that the key
@@ -69,6 +70,9 @@
 
 /// Asynchronous interface of the platform's key-value store. Each callback is called once, on the
 /// event loop. When it receives no result, the reason is in last_failure().
+///
+/// An answer of an ended era is dropped, as if there had been none. A commit, grant or renewal that
+/// was sent in one era and answered in the next has no known outcome.
 class shared_store {
 public:
     shared_store() = default;
@@ -91,6 +95,21 @@
                              std::function<void(std::optional<lease_grant>)> done) = 0;
     virtual void renew_lease(store_lease lease, std::function<void(lease_outcome)> done) = 0;
     virtual void end_lease(store_lease lease) = 0;
+
+    /// The newest era that this node has seen.
+    const store_era_tracker& eras() const { return this->tracker; }
+    store_era era() const { return this->tracker.current(); }
+    /// Records an era that another node has seen, for a node that the store turns away.
+    void learn_era(store_era stated, const std::string& source);
+
+protected:
+    /// Records the era of an answer. False when the answer is to be dropped.
+    bool accept_answer(store_era stated);
+
+private:
+    bool observe(store_era stated, const std::string& source);
+
+    store_era_tracker tracker;
 };
 
 } // namespace dragonflyroad
--- a/test/support/memory_shared_store.hpp
+++ b/test/support/memory_shared_store.hpp
@@ -14,7 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 /// An in-memory shared store for nodes of one process. Leases never expire; only end_lease() ends
-/// them.
+/// them. It can go back to an older copy of itself, which begins a new era.
 class memory_shared_store : public dragonflyroad::shared_store {
 public:
     explicit memory_shared_store(boost::asio::io_context& loop) : context(loop) {}
@@ -22,8 +22,29 @@
     /// While the store is down every call fails, except put() and end_lease().
     void set_down(bool down) { this->is_down = down; }
 
+    /// Items, revision and leases at one moment.
+    struct copy;
+    copy take_copy() const;
+    /// Everything since the copy is lost. Its revisions and leases are given out again.
+    void go_back_to(const copy& older);
+
+    /// States its era in all answers from now on.
+    void begin_eras() { this->stated_era = 1; }
+    dragonflyroad::store_era stated() const { return this->stated_era; }
+
+    std::optional<std::string> value(const std::string& key) const
+    {
+        const auto found = this->items.find(key);
+        return found == this->items.end() || found->second.item.is_removed
+                   ? std::nullopt
+                   : std::optional{found->second.item.value};
+    }
+
     /// Number of commits requested, including refused ones.
     std::size_t commits() const { return this->commit_calls; }
+    /// Numbers of reads and watches requested.
+    std::size_t reads() const { return this->read_calls; }
+    std::size_t watches() const { return this->watch_calls; }
 
     void put(const std::string& key, const std::string& value, dragonflyroad::store_lease lease = 0)
     {
@@ -41,12 +62,15 @@
     void read(const std::string& prefix, dragonflyroad::read_freshness,
               std::function<void(std::optional<dragonflyroad::stored_range>)> done) override
     {
+        ++this->read_calls;
         this->post_to_loop([this, prefix, done = std::move(done)] {
             if (this->is_down) {
                 done(std::nullopt);
                 return;
             }
+            this->accept_answer(this->stated_era);
             dragonflyroad::stored_range range;
+            range.era = this->stated_era;
             range.revision = this->revision;
             for (const auto& [key, row] : this->items) {
                 if (key.starts_with(prefix) && !row.item.is_removed) {
@@ -60,24 +84,28 @@
     void watch(const std::string&, dragonflyroad::store_revision after, std::chrono::milliseconds,
                std::function<void(std::optional<dragonflyroad::stored_changes>)> done) override
     {
+        ++this->watch_calls;
         // Answers after 20 ms even without changes, which the contract of watch() allows.
         auto timer = std::make_shared<boost::asio::steady_timer>(this->context,
                                                                  std::chrono::milliseconds{20});
-        timer->async_wait(
-            [this, after, timer, done = std::move(done)](const boost::system::error_code&) {
-                if (this->is_down) {
-                    done(std::nullopt);
-                    return;
-                }
-                dragonflyroad::stored_changes changes;
-                changes.revision = this->revision;
-                for (const auto& [key, row] : this->items) {
-                    if (row.item.revision > after) {
-                        changes.items.push_back(row.item);
-                    }
+        timer->async_wait([this, after, sent_in = this->stated_era, timer,
+                           done = std::move(done)](const boost::system::error_code&) {
+            if (this->is_down) {
+                done(std::nullopt);
+                return;
+            }
+            this->accept_answer(this->stated_era);
+            dragonflyroad::stored_changes changes;
+            changes.era = this->stated_era;
+            changes.is_history_lost = sent_in != this->stated_era || after > this->revision;
+            changes.revision = this->revision;
+            for (const auto& [key, row] : this->items) {
+                if (row.item.revision > after) {
+                    changes.items.push_back(row.item);
                 }
-                done(std::move(changes));
-            });
+            }
+            done(std::move(changes));
+        });
     }
 
     void commit(const dragonflyroad::commit_request& request,
@@ -89,6 +117,7 @@
                 done(dragonflyroad::commit_outcome::unknown);
                 return;
             }
+            this->accept_answer(this->stated_era);
             for (const auto& condition : request.conditions) {
                 const auto found = this->items.find(condition.key);
                 const bool is_present =
@@ -113,6 +142,9 @@
                      std::function<void(std::optional<dragonflyroad::lease_grant>)> done) override
     {
         this->post_to_loop([this, time_to_live, done = std::move(done)] {
+            if (!this->is_down) {
+                this->accept_answer(this->stated_era);
+            }
             done(this->is_down
                      ? std::nullopt
                      : std::optional{dragonflyroad::lease_grant{++this->last_lease, time_to_live}});
@@ -123,6 +155,9 @@
                      std::function<void(dragonflyroad::lease_outcome)> done) override
     {
         this->post_to_loop([this, done = std::move(done)] {
+            if (!this->is_down) {
+                this->accept_answer(this->stated_era);
+            }
             done(this->is_down ? dragonflyroad::lease_outcome::unknown
                                : dragonflyroad::lease_outcome::renewed);
         });
@@ -154,5 +189,27 @@
     dragonflyroad::store_revision revision = 1;
     dragonflyroad::store_lease last_lease = 0;
     std::size_t commit_calls = 0;
+    std::size_t read_calls = 0;
+    std::size_t watch_calls = 0;
+    dragonflyroad::store_era stated_era = 0;
     bool is_down = false;
 };
+
+struct memory_shared_store::copy {
+    std::map<std::string, stored_entry> items;
+    dragonflyroad::store_revision revision = 0;
+    dragonflyroad::store_lease last_lease = 0;
+};
+
+inline memory_shared_store::copy memory_shared_store::take_copy() const
+{
+    return {this->items, this->revision, this->last_lease};
+}
+
+inline void memory_shared_store::go_back_to(const copy& older)
+{
+    this->items = older.items;
+    this->revision = older.revision;
+    this->last_lease = older.last_lease;
+    ++this->stated_era;
+}
--- a/test/support/mesh_fleet.cpp
+++ b/test/support/mesh_fleet.cpp
@@ -102,8 +102,9 @@
         vm.upstream =
             std::make_unique<loopback_upstream>(this->context, "upstream-" + std::to_string(index));
         vm.upstream->listen(vm.upstream_address);
+        vm.store = std::make_unique<store_port>(this->store);
         vm.node = std::make_unique<mesh_node>(this->context, settings_of(index, stop_timeout),
-                                              this->store, platform::decode_configuration);
+                                              *vm.store, platform::decode_configuration);
         vm.node->start();
         vm.callers = std::make_unique<http_client_pool>(this->context, 1U << 20U, 64U << 20U);
         vm.callers->set_address(address_of(index, 0));
--- a/test/support/mesh_fleet.hpp
+++ b/test/support/mesh_fleet.hpp
@@ -4,6 +4,7 @@
 #include "mesh/http_client_pool.hpp"
 #include "mesh/mesh_node.hpp"
 #include "platform/node_settings.hpp"
+#include "store_port.hpp"
 
 #include <functional>
 #include <memory>
@@ -42,6 +43,7 @@
 /// A simulated VM: a node, its upstream and a client for the node.
 struct loopback_vm {
     std::unique_ptr<loopback_upstream> upstream;
+    std::unique_ptr<store_port> store;
     std::unique_ptr<dragonflyroad::mesh_node> node;
     std::string upstream_address;
     std::unique_ptr<dragonflyroad::http_client_pool> callers;
