Test revisions given out again and a start in a new era

Cause: with the reset of known revisions taken out no fleet test failed, since revisions had not risen far enough before the store went back. Change: the fleet's configuration is written 100 times first; a node that starts in a new era is tested over HTTP.

--- a/test/error/test_store_era.cpp
+++ b/test/error/test_store_era.cpp
@@ -42,6 +42,11 @@
 TEST_CASE("after the store has gone back entries and groups are written again within two seconds")
 {
     drilled_fleet fleet{3};
+    // Raises the revision of the configuration above those that the store gives out again.
+    for (int write = 0; write < 100; ++write) {
+        fleet.configure("r1", {"first-key"});
+    }
+    fleet.run_for(300ms);
     fleet.store.go_back_to(memory_shared_store::copy{});
     CHECK(fleet.serves(0));
     CHECK(fleet.run_until(
--- a/test/error/test_store_era_client.cpp
+++ b/test/error/test_store_era_client.cpp
@@ -179,8 +179,12 @@
 
 /// A node whose store is the stand-in, over HTTP.
 struct node_on_standin {
-    node_on_standin()
+    explicit node_on_standin(store_era era = 1, const std::string& mark = "")
     {
+        this->store.era = era;
+        if (!mark.empty()) {
+            this->store.put("dragonflyroad/era", mark);
+        }
         this->store.listen(address(0));
         this->store.put("op/config", configuration(1));
         mesh_settings settings;
@@ -209,6 +213,7 @@
     }
 
     std::size_t groups() const { return this->store.count("dragonflyroad/quota/"); }
+    bool has_proof() const { return this->node->report().proof_age.has_value(); }
     revision_number version() const { return this->node->report().revision; }
 
     static std::string address(int offset)
@@ -255,3 +260,31 @@
     CHECK(fleet.run_until([&] { return fleet.version() == 3; }, 2s));
     CHECK(fleet.client.eras().rise_count() == 1);
 }
+
+// Guards against a key that stays in use after it was withdrawn: a node starts while the store
+// still holds the configuration of an older copy, and takes it for the newest.
+TEST_CASE("a node that starts in a new era proves nothing until the era has settled")
+{
+    SUBCASE("the mark is of the era before")
+    {
+        node_on_standin fleet{2, "1"};
+        REQUIRE(fleet.run_until([&] { return fleet.version() == 1; }, 2s));
+        CHECK(!fleet.run_until([&] { return fleet.has_proof(); }, 2s));
+        // 3 s for the operators, then the pause of 0.9 s and the watch of 0.7 s of a starting node.
+        CHECK(fleet.run_until([&] { return fleet.has_proof(); }, 3s));
+    }
+    SUBCASE("the configuration is written again")
+    {
+        node_on_standin fleet{2, "1"};
+        REQUIRE(fleet.run_until([&] { return fleet.version() == 1; }, 2s));
+        CHECK(!fleet.has_proof());
+        fleet.store.put("op/config", node_on_standin::configuration(2));
+        CHECK(fleet.run_until([&] { return fleet.has_proof(); }, 1s));
+        CHECK(fleet.version() == 2);
+    }
+    SUBCASE("the era has settled")
+    {
+        node_on_standin fleet{2, "2"};
+        CHECK(fleet.run_until([&] { return fleet.has_proof(); }, 1s));
+    }
+}
