Bound work to cold upstreams, read evacuations, keep departed lifetimes

Departed lifetimes were kept in memory, so a restarted node took a late check-in of one.

Change: evacuations are items of every node's replica; the caller's node leaves evacuated data centres out, and the node beside an upstream declines as a second line, withdraws offers and takes no work before its replica is read. One rate limit beside each upstream (dispatch/cold_admission) bounds the work of the whole fleet, across restarts and also while the upstream counts as warm. Departed lifetimes are written with the node's entry and read at a start. A service all of whose upstreams are evacuated gives 503 data_centres_evacuated.

--- a/src/core/reasons.hpp
+++ b/src/core/reasons.hpp
@@ -33,6 +33,7 @@
     repeat_unknown,
     claim_unavailable,
     node_stopping,
+    data_centres_evacuated,
     count
 };
 
--- a/src/dispatch/check_in_tracker.cpp
+++ b/src/dispatch/check_in_tracker.cpp
@@ -1,22 +1,10 @@
 #include "dispatch/check_in_tracker.hpp"
 
 namespace dragonflyroad {
-namespace {
-
-/// Upper bound on the departed lifetimes that are kept; a VM sees only a few in total.
-constexpr std::size_t max_departed_lifetimes = 64;
-
-} // namespace
-
-bool check_in_tracker::has_left(const upstream_check_in& report) const
-{
-    const auto found = this->departed.find(report.id);
-    return found != this->departed.end() && report.started_at <= found->second;
-}
 
 check_in_verdict check_in_tracker::apply(const upstream_check_in& report, time_point now)
 {
-    if (this->has_left(report)) {
+    if (this->departed.contains(report.id, report.started_at)) {
         return check_in_verdict::outdated;
     }
     bool is_start = true;
@@ -49,14 +37,39 @@
     // recorded as 0: a restarted upstream may keep the id, and its reports, which state a later
     // start, must be accepted.
     const std::int64_t started_at = is_current ? this->latest->started_at : 0;
-    if (this->departed.size() >= max_departed_lifetimes) {
-        this->departed.erase(this->departed.begin());
-    }
-    this->departed[id] = std::max(this->departed[id], started_at);
+    this->departed.add(id, started_at);
     if (is_current) {
         this->latest.reset();
     }
     return is_current;
 }
 
+departed_lifetimes check_in_tracker::departures() const
+{
+    departed_lifetimes result = this->departed;
+    if (this->latest && this->latest->is_draining) {
+        result.add(this->latest->id, this->latest->started_at);
+    }
+    return result;
+}
+
+bool check_in_tracker::restore(const departed_lifetimes& recorded)
+{
+    bool is_discarded = false;
+    for (const auto& [id, started_at] : recorded.all()) {
+        const bool is_current =
+            this->latest && this->latest->id == id && this->latest->started_at <= started_at;
+        if (is_current && this->latest->is_draining) {
+            // This process recorded it itself; its later reports are still accepted.
+            continue;
+        }
+        if (is_current) {
+            this->latest.reset();
+            is_discarded = true;
+        }
+        this->departed.add(id, started_at);
+    }
+    return is_discarded;
+}
+
 } // namespace dragonflyroad
--- a/src/dispatch/check_in_tracker.hpp
+++ b/src/dispatch/check_in_tracker.hpp
@@ -2,10 +2,10 @@
 
 #include "core/clock.hpp"
 #include "core/ids.hpp"
+#include "dispatch/departed_lifetimes.hpp"
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 
@@ -66,14 +66,19 @@
     /// Discards the current lifetime after another process was found at its address.
     void discard_current() { this->latest.reset(); }
 
+    /// The lifetimes that have left, and the current one if it drains: what a later process of this
+    /// node must know.
+    departed_lifetimes departures() const;
+
+    /// Takes over what an earlier process of this node has recorded. True when the current lifetime
+    /// turns out to have left, so that it is no longer current.
+    bool restore(const departed_lifetimes& recorded);
+
     const std::optional<local_upstream>& current() const { return this->latest; }
 
 private:
-    bool has_left(const upstream_check_in& report) const;
-
     std::optional<local_upstream> latest;
-    /// Start times of the lifetimes that have deregistered, by id.
-    std::map<std::string, std::int64_t> departed;
+    departed_lifetimes departed;
 };
 
 } // namespace dragonflyroad
--- /dev/null
+++ b/src/dispatch/departed_lifetimes.cpp
@@ -0,0 +1,64 @@
+#include "dispatch/departed_lifetimes.hpp"
+
+#include <algorithm>
+#include <cstddef>
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflyroad {
+namespace {
+
+/// Upper bound on the lifetimes that are kept: reports are seconds late at most, and an upstream
+/// takes about a second to start. The text takes less than 1 KB.
+constexpr std::size_t max_lifetimes = 16;
+
+} // namespace
+
+void departed_lifetimes::add(const std::string& id, std::int64_t started_at)
+{
+    const auto found = this->starts.find(id);
+    if (found != this->starts.end()) {
+        found->second = std::max(found->second, started_at);
+        return;
+    }
+    if (this->starts.size() >= max_lifetimes) {
+        this->starts.erase(std::ranges::min_element(
+            this->starts, {}, &std::pair<const std::string, std::int64_t>::second));
+    }
+    this->starts[id] = started_at;
+}
+
+void departed_lifetimes::add_all(const departed_lifetimes& other)
+{
+    for (const auto& [id, started_at] : other.starts) {
+        this->add(id, started_at);
+    }
+}
+
+bool departed_lifetimes::contains(const std::string& id, std::int64_t started_at) const
+{
+    const auto found = this->starts.find(id);
+    return found != this->starts.end() && started_at <= found->second;
+}
+
+std::string departed_lifetimes::to_text() const
+{
+    return this->starts.empty() ? std::string{} : nlohmann::json(this->starts).dump();
+}
+
+departed_lifetimes departed_lifetimes::from_text(const std::string& text)
+{
+    departed_lifetimes result;
+    const auto document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        return result;
+    }
+    for (const auto& [id, started_at] : document.items()) {
+        if (started_at.is_number_integer()) {
+            result.add(id, started_at.get<std::int64_t>());
+        }
+    }
+    return result;
+}
+
+} // namespace dragonflyroad
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -170,8 +170,7 @@
         // Every upstream of the service was tried already; try them again rather than refuse.
         this->declined.clear();
         if (this->rounds_started > max_rounds || !this->reserve_more(initial_reservations)) {
-            this->fail_round(refusal_reason::no_healthy_upstream, ran::no,
-                             "no upstream of the service is known");
+            this->fail_without_upstream("no upstream of the service is known");
             return;
         }
     }
@@ -296,9 +295,11 @@
     if (this->ask_upstreams_on_probation()) {
         return;
     }
-    this->fail_round(this->was_overloaded ? refusal_reason::overload_shed
-                                          : refusal_reason::no_healthy_upstream,
-                     ran::no, "every upstream declined");
+    if (this->was_overloaded) {
+        this->fail_round(refusal_reason::overload_shed, ran::no, "every upstream declined");
+        return;
+    }
+    this->fail_without_upstream("every upstream declined");
 }
 
 bool dispatched_request::ask_upstreams_on_probation()
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -115,6 +115,8 @@
     /// Ends a round that found no upstream. While no other run is open, the request is answered
     /// with the failed answer of an earlier run, if there is one, and refused otherwise.
     void fail_round(refusal_reason reason, ran executed, const std::string& detail);
+    /// Ends a round in which no upstream can take the request.
+    void fail_without_upstream(const std::string& detail);
     void deliver(const response_message& message);
     void refuse(refusal_reason reason, ran executed, const std::string& detail);
     void finish(http_response answer);
--- a/src/mesh/dispatched_request_end.cpp
+++ b/src/mesh/dispatched_request_end.cpp
@@ -31,6 +31,14 @@
                  may_have_run ? ran::unknown : executed, detail);
 }
 
+void dispatched_request::fail_without_upstream(const std::string& detail)
+{
+    const bool is_evacuated = this->owner.directory.is_evacuated(this->accepted.service);
+    this->fail_round(is_evacuated ? refusal_reason::data_centres_evacuated
+                                  : refusal_reason::no_healthy_upstream,
+                     ran::no, detail);
+}
+
 void dispatched_request::end_early(refusal_reason if_run, refusal_reason if_not_run)
 {
     this->end_round();
--- a/src/mesh/fleet_view.cpp
+++ b/src/mesh/fleet_view.cpp
@@ -378,7 +378,7 @@
         this->apply_configuration(item);
         return;
     }
-    if (!item.key.starts_with(this->keys.prefix)) {
+    if (!item.key.starts_with(this->keys.prefix) && !this->keys.is_evacuation(item.key)) {
         return;
     }
     const auto known = this->items.find(item.key);
@@ -390,9 +390,17 @@
     if (item.is_removed) {
         this->removed_at[item.key] = boot_clock::now();
     }
-    if (item.key.starts_with(this->keys.prefix + "vm/")) {
+    if (this->keys.is_evacuation(item.key)) {
+        this->apply_evacuation(item);
+    }
+    else if (item.key.starts_with(this->keys.prefix + "vm/")) {
         this->apply_vm(item);
     }
+    else if (item.key == this->keys.departures(this->self.node)) {
+        if (!item.is_removed) {
+            this->handlers.departures_read(item.value);
+        }
+    }
     else if (item.key.starts_with(this->keys.crash(""))) {
         if (!item.is_removed) {
             this->handlers.crash_reported(item.key, item.value);
@@ -487,6 +495,20 @@
     }
 }
 
+void fleet_view::apply_evacuation(const stored_item& item)
+{
+    const data_centre centre{item.key.substr(this->keys.evacuation_prefix.size())};
+    auto& evacuations = this->directory.evacuations;
+    // The request is the item itself; its value carries nothing.
+    if (item.is_removed ? evacuations.remove(centre) : evacuations.add(centre)) {
+        log_line{"evacuation"}
+            .add("centre", centre.value)
+            .add("state", item.is_removed ? "taken_back" : "begun")
+            .add("store_revision", item.revision);
+        this->handlers.evacuation_changed(centre, !item.is_removed);
+    }
+}
+
 void fleet_view::arm_maintenance()
 {
     this->maintenance.expires_after(maintenance_interval);
--- a/src/mesh/fleet_view.hpp
+++ b/src/mesh/fleet_view.hpp
@@ -41,6 +41,10 @@
         std::function<void()> own_entry_lost;
         /// The value of an entry by which a node reports a crash of its upstream.
         std::function<void(const std::string& key, const std::string& value)> crash_reported;
+        /// An operator asks to evacuate a data centre, or takes the request back.
+        std::function<void(const data_centre&, bool is_evacuated)> evacuation_changed;
+        /// The value of this node's own item of departed lifetimes.
+        std::function<void(const std::string& value)> departures_read;
         /// Another node has written its entry, so it can be reached again.
         std::function<void(const node_id&)> entry_written;
         std::function<void(const node_id&, const link_message&)> send;
@@ -96,6 +100,7 @@
     void adopt(routing_table next, const std::string& source);
     void apply_vm(const stored_item& item);
     void apply_group(const stored_item& item);
+    void apply_evacuation(const stored_item& item);
     void record_store_result(bool reachable, const std::string& detail);
     std::vector<node_id> centre_nodes() const;
     void arm_maintenance();
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -82,6 +82,17 @@
     this->requests.retry_share_of_call = [this](std::string_view call_id) {
         return this->runner.retry_share_of_call(call_id);
     };
+    this->runner.set_readiness([this] { return this->view.has_read_store(); });
+    this->runner.set_cold_limit([this](const service_name& service) {
+        const auto table = this->view.configuration();
+        cold_limit limit = this->options.cold_tolerance;
+        if (table != nullptr) {
+            const cold_rule rule = table->cold_rule_of(service);
+            limit.requests_per_second = rule.requests_per_second;
+            limit.cold_time = rule.cold_time;
+        }
+        return limit;
+    });
     this->runner.on_change([this] { this->publish(); });
     this->runner.on_crash([this](const upstream_crash& crash) {
         this->requests.crashes.add(crash, boot_clock::now());
@@ -104,11 +115,22 @@
     functions.crash_reported = [this](const std::string& key, const std::string& value) {
         this->on_crash_reported(key, value);
     };
+    functions.evacuation_changed = [this](const data_centre& centre, bool is_evacuated) {
+        if (centre == this->options.centre) {
+            this->runner.set_evacuated(is_evacuated);
+        }
+    };
+    functions.departures_read = [this](const std::string& value) {
+        this->runner.restore_departures(departed_lifetimes::from_text(value));
+    };
     functions.own_entry_lost = [this] { this->registration.on_entry_lost(); };
     functions.send = [this](const node_id& to, const link_message& message) {
         this->send(to, message);
     };
-    functions.changed = [this] { this->feed.publish(); };
+    functions.changed = [this] {
+        this->runner.update_cold_state();
+        this->feed.publish();
+    };
     return functions;
 }
 
@@ -267,6 +289,7 @@
 {
     this->options.quota = changed.quota;
     this->options.retry_limit = changed.retry_limit;
+    this->options.cold_tolerance = changed.cold_tolerance;
     this->options.max_proof_age = changed.max_proof_age;
     this->options.stop_timeout = changed.stop_timeout;
     this->quota.set_tolerance(changed.quota);
@@ -290,7 +313,7 @@
 {
     const node_entry own = this->own_entry();
     this->requests.directory.put(own);
-    this->registration.publish(own);
+    this->registration.publish(own, this->runner.departures().to_text());
 }
 
 void mesh_node::on_crash_reported(const std::string& key, const std::string& value)
@@ -495,6 +518,18 @@
     counters.add_metric_callback("settings_file_rejected", "gauge", [this] {
         return this->settings_in_force.rejection.empty() ? 0.0 : 1.0;
     });
+    counters.add_metric_callback("evacuated_data_centres", "gauge", [this] {
+        return static_cast<double>(this->requests.directory.evacuations.all().size());
+    });
+    counters.add_metric_callback("evacuation_declines_total", "counter", [this] {
+        return static_cast<double>(this->runner.evacuation_declines());
+    });
+    counters.add_metric_callback("upstream_cold", "gauge", [this] {
+        return this->runner.is_cold(boot_clock::now()) ? 1.0 : 0.0;
+    });
+    counters.add_metric_callback("cold_limit_waits_total", "counter", [this] {
+        return static_cast<double>(this->runner.cold_limit_waits());
+    });
     counters.add_metric_callback("known_nodes", "gauge", [this] {
         return static_cast<double>(this->requests.directory.size());
     });
--- a/src/mesh/mesh_node.hpp
+++ b/src/mesh/mesh_node.hpp
@@ -37,6 +37,8 @@
     std::string report_address;
     quota_tolerance quota;
     service_retry_limit retry_limit;
+    /// Overage and slack of the bound on work to a cold upstream; the rest is in the configuration.
+    cold_limit cold_tolerance;
     /// Greatest age of the configuration's freshness proof at which requests with a key are served.
     std::chrono::milliseconds max_proof_age{4'700};
     /// Longest time from the stop signal to the end of the process.
--- a/src/mesh/node_directory.cpp
+++ b/src/mesh/node_directory.cpp
@@ -81,7 +81,7 @@
 {
     std::vector<vm_candidate> found;
     for (const auto& [node, entry] : this->entries) {
-        if (entry.service == service) {
+        if (entry.service == service && !this->evacuations.contains(entry.centre)) {
             found.push_back({node, entry.centre == centre, node == self});
         }
     }
@@ -94,4 +94,13 @@
         this->entries, [&](const auto& item) { return item.second.service == service; }));
 }
 
+bool node_directory::is_evacuated(const service_name& service) const
+{
+    return this->count_upstreams(service) > 0 &&
+           std::ranges::none_of(this->entries, [&](const auto& item) {
+               return item.second.service == service &&
+                      !this->evacuations.contains(item.second.centre);
+           });
+}
+
 } // namespace dragonflyroad
--- a/src/mesh/node_directory.hpp
+++ b/src/mesh/node_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.hpp"
+#include "dispatch/evacuated_centres.hpp"
 #include "dispatch/vm_selector.hpp"
 
 #include <cstdint>
@@ -45,12 +46,18 @@
     std::size_t size() const { return this->entries.size(); }
     const std::map<node_id, node_entry>& all() const { return this->entries; }
 
-    /// The VMs whose upstream provides the service.
+    /// The VMs whose upstream provides the service, except those in evacuated data centres.
     std::vector<vm_candidate> candidates(const service_name& service, const node_id& self,
                                          const data_centre& centre) const;
 
     std::size_t count_upstreams(const service_name& service) const;
 
+    /// Whether the service has upstreams and all of them are in evacuated data centres.
+    bool is_evacuated(const service_name& service) const;
+
+    /// The data centres that get no work. The fleet's view writes them.
+    evacuated_centres evacuations;
+
 private:
     std::map<node_id, node_entry> entries;
 };
--- a/src/mesh/node_registration.cpp
+++ b/src/mesh/node_registration.cpp
@@ -93,12 +93,13 @@
     this->arm_timer();
 }
 
-void node_registration::publish(const node_entry& own)
+void node_registration::publish(const node_entry& own, const std::string& departures)
 {
-    if (own == this->self) {
+    if (own == this->self && departures == this->departed) {
         return;
     }
     this->self = own;
+    this->departed = departures;
     this->is_entry_written = false;
     this->first_write_at = {};
     this->write_entry();
@@ -127,11 +128,18 @@
     commit_request request;
     request.writes.push_back(
         {this->keys.vm(written.node), written.to_text(), this->entry_lease.id()});
-    this->store.commit(request, [this, written](commit_outcome outcome) {
+    // The departures outlast this process, so they are under no lease. They go with the entry,
+    // which changes when the upstream leaves, and cost no call of their own.
+    const std::string departures = this->departed;
+    if (departures != this->written_departed) {
+        request.writes.push_back({this->keys.departures(written.node), departures, 0});
+    }
+    this->store.commit(request, [this, written, departures](commit_outcome outcome) {
         this->is_writing_entry = false;
         this->record_commit(outcome);
         if (outcome == commit_outcome::committed) {
-            this->is_entry_written = written == this->self;
+            this->written_departed = departures;
+            this->is_entry_written = written == this->self && departures == this->departed;
         }
         else if (outcome == commit_outcome::lease_ended) {
             this->entry_lease.on_ended();
--- a/src/mesh/node_registration.hpp
+++ b/src/mesh/node_registration.hpp
@@ -24,9 +24,21 @@
 /// The store keys that the fleet uses.
 struct fleet_keys {
     std::string prefix = "dragonflyroad/";
+    /// Under this prefix, operators write the name of a data centre that is to get no work. The
+    /// request stands until the item is removed. Empty: there are no such requests.
+    std::string evacuation_prefix;
 
     std::string vm(const node_id& node) const { return this->prefix + "vm/" + node.value; }
     std::string crash(const std::string& name) const { return this->prefix + "crash/" + name; }
+    /// The lifetimes of the upstream beside the node that have left.
+    std::string departures(const node_id& node) const
+    {
+        return this->prefix + "left/" + node.value;
+    }
+    bool is_evacuation(const std::string& key) const
+    {
+        return !this->evacuation_prefix.empty() && key.starts_with(this->evacuation_prefix);
+    }
     std::string group(std::size_t number) const
     {
         return this->prefix + "quota/" + std::to_string(number);
@@ -50,8 +62,8 @@
 
     /// Writes the entry once its lease is granted, and claims vacant groups.
     void start(const node_entry& own);
-    /// Writes the entry if it has changed.
-    void publish(const node_entry& own);
+    /// Writes the entry and the departed lifetimes of the upstream if either has changed.
+    void publish(const node_entry& own, const std::string& departures);
     /// Releases the groups and publishes an entry without a service, so that no new work arrives.
     void begin_stop();
     /// Ends the leases, which removes the entry.
@@ -87,6 +99,9 @@
     callbacks handlers;
     boost::asio::steady_timer timer;
     node_entry self;
+    /// Departed lifetimes as they are to be written, and as they are in the store; empty: none.
+    std::string departed;
+    std::string written_departed;
     time_point first_write_at{};
     retry_backoff commit_retry;
     held_lease entry_lease;
--- a/src/mesh/routing_table.cpp
+++ b/src/mesh/routing_table.cpp
@@ -99,6 +99,19 @@
     return limits;
 }
 
+/// Nodes of earlier versions send none.
+void read_cold_rules(const json& document, routing_table& table)
+{
+    if (!document.contains("cold")) {
+        return;
+    }
+    for (const auto& [service, rule] : document.at("cold").items()) {
+        table.add_cold_rule(service_name{service},
+                            {rule.at("per_second").get<double>(),
+                             std::chrono::milliseconds{rule.at("time_ms").get<std::int64_t>()}});
+    }
+}
+
 } // namespace
 
 void routing_table::add_route(route_rule rule)
@@ -147,13 +160,18 @@
     return found == this->organisations.end() ? nullptr : &found->second;
 }
 
+cold_rule routing_table::cold_rule_of(const service_name& service) const
+{
+    const auto found = this->cold_rules.find(service);
+    return found == this->cold_rules.end() ? cold_rule{} : found->second;
+}
+
 json routing_table::to_json() const
 {
-    json document{{"revision", this->table_revision},
-                  {"limits", limits_to_json(this->request_limits)},
-                  {"routes", json::object()},
-                  {"organisations", json::object()},
-                  {"keys", json::object()}};
+    json document{
+        {"revision", this->table_revision}, {"limits", limits_to_json(this->request_limits)},
+        {"routes", json::object()},         {"organisations", json::object()},
+        {"keys", json::object()},           {"cold", json::object()}};
     for (const route_rule& route : this->routes) {
         document["routes"][route.name.value] = route_to_json(route);
     }
@@ -163,6 +181,10 @@
     for (const auto& [digest, owner] : this->key_owners) {
         document["keys"][digest] = owner.value;
     }
+    for (const auto& [service, rule] : this->cold_rules) {
+        document["cold"][service.value] = {{"per_second", rule.requests_per_second},
+                                           {"time_ms", rule.cold_time.count()}};
+    }
     return document;
 }
 
@@ -181,6 +203,7 @@
         for (const auto& [digest, owner] : document.at("keys").items()) {
             table.add_key(digest, organisation_id{owner.get<std::string>()});
         }
+        read_cold_rules(document, table);
         return table;
     }
     catch (const json::exception& error) {
--- a/src/mesh/routing_table.hpp
+++ b/src/mesh/routing_table.hpp
@@ -55,6 +55,14 @@
     std::optional<int> priority;
 };
 
+/// What the configuration says about cold upstreams of a service.
+struct cold_rule {
+    /// Requests a second that a cold upstream tolerates; 0: no limit.
+    double requests_per_second = 0;
+    /// How long an upstream is cold after its start.
+    std::chrono::milliseconds cold_time{0};
+};
+
 /// Limits on the size of a caller's requests and on the time that it takes to send them.
 struct caller_limits {
     std::size_t header_bytes = 16U << 10U;
@@ -71,6 +79,10 @@
     void add_route(route_rule rule);
     void add_organisation(const organisation_id& id, const organisation_rule& rule);
     void add_key(std::string digest, organisation_id owner);
+    void add_cold_rule(const service_name& service, const cold_rule& rule)
+    {
+        this->cold_rules[service] = rule;
+    }
     void set_limits(const caller_limits& limits) { this->request_limits = limits; }
 
     revision_number revision() const { return this->table_revision; }
@@ -85,6 +97,9 @@
     const organisation_id* find_key_owner(const std::string& digest) const;
     const organisation_rule* find_organisation(const organisation_id& id) const;
 
+    /// The rule of the service; without limits where the configuration states none.
+    cold_rule cold_rule_of(const service_name& service) const;
+
     /// The encoding in which nodes send a configuration to each other.
     nlohmann::json to_json() const;
     /// Returns nothing when a field is missing or has the wrong type; the reason is in
@@ -101,6 +116,7 @@
     std::unordered_map<std::string, prefix_map> hosts;
     std::map<organisation_id, organisation_rule> organisations;
     std::unordered_map<std::string, organisation_id> key_owners;
+    std::map<service_name, cold_rule> cold_rules;
 };
 
 /// Chooses one of the route's services at random, in proportion to their weights.
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -33,7 +33,8 @@
       pool(loop, memory_bytes / response_memory_divisor, memory_bytes / receiving_memory_divisor),
       service_retry_bound(bound),
       upstream_retries(bound, boot_clock::now()),
-      upstream_count(std::move(count))
+      upstream_count(std::move(count)),
+      pacing(boot_clock::now())
 {
 }
 
@@ -60,6 +61,7 @@
     }
     this->pool.set_address(report.address);
     this->queue.set_capacity(report.slots, this->typical_run);
+    this->update_cold_state();
     this->upstream_changed();
     this->offer_next();
     return verdict;
@@ -86,7 +88,8 @@
 
 bool upstream_runner::accepts_work(time_point now) const
 {
-    return this->available_upstream() && now >= this->connect_backoff_until;
+    return this->available_upstream() && now >= this->connect_backoff_until &&
+           !this->is_evacuated && (!this->is_informed || this->is_informed());
 }
 
 void upstream_runner::receive(const node_id& from, link_message message, reply_function reply)
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "dispatch/check_in_tracker.hpp"
+#include "dispatch/cold_admission.hpp"
 #include "dispatch/crash_guard.hpp"
 #include "dispatch/probation.hpp"
 #include "dispatch/upstream_health.hpp"
@@ -54,6 +55,33 @@
         this->crash_found = std::move(function);
     }
 
+    /// Sets the function that tells whether this node knows the fleet's entries. Before that it may
+    /// not know that its data centre is evacuated or that a lifetime has left, so it takes no work
+    /// for the upstream. Without a function it always does.
+    void set_readiness(std::function<bool()> function) { this->is_informed = std::move(function); }
+    /// Sets the function that returns the limit on work to a cold upstream of a service.
+    void set_cold_limit(std::function<cold_limit(const service_name&)> function)
+    {
+        this->find_cold_limit = std::move(function);
+    }
+    /// Applies the present limit and the latest report to the work for a cold upstream.
+    void update_cold_state();
+    /// An operator evacuates this node's data centre, or takes that back. While it is evacuated,
+    /// the upstream gets no new work; open runs continue. When it is taken back, the upstream is
+    /// assumed to be cold.
+    void set_evacuated(bool evacuated);
+
+    /// The lifetimes of the upstream that have left or drain.
+    departed_lifetimes departures() const { return this->reports.departures(); }
+    /// Takes over the lifetimes that an earlier process of this node has recorded.
+    void restore_departures(const departed_lifetimes& recorded);
+
+    bool is_cold(time_point now) const { return this->pacing.is_cold(now); }
+    /// Reservations declined, or offers withdrawn, because the data centre is evacuated.
+    std::uint64_t evacuation_declines() const { return this->declined_by_evacuation; }
+    /// Reservations that found a free slot and had to wait for the limit on a cold upstream.
+    std::uint64_t cold_limit_waits() const { return this->waits_for_cold_limit; }
+
     /// The upstream if it accepts new work, otherwise nothing.
     std::optional<local_upstream> available_upstream() const;
 
@@ -160,6 +188,11 @@
                                                time_point now) const;
     std::chrono::milliseconds max_run_overrun(time_point now) const;
     bool accepts_work(time_point now) const;
+    /// Whether a slot is free and the limit on a cold upstream allows one more request.
+    bool may_offer(time_point now) const;
+    bool has_free_slot() const { return this->slots_in_use < this->max_slots_in_use(); }
+    /// Requests a second that the upstream can serve while it is warm.
+    double warm_capacity() const;
     std::size_t service_upstream_count() const;
     std::size_t max_slots_in_use() const;
     void tick();
@@ -186,11 +219,19 @@
     std::function<void(const upstream_crash&)> crash_found;
     queue_ticket last_ticket = 0;
     std::size_t slots_in_use = 0;
+    /// The slots among these that are offered and not yet taken.
+    std::size_t slots_offered = 0;
     time_point connect_backoff_until{};
     time_point last_call_failure_at{};
     /// When a request was last sent to the upstream.
     time_point last_run_at{};
     std::chrono::milliseconds typical_run{500};
+    std::function<bool()> is_informed;
+    std::function<cold_limit(const service_name&)> find_cold_limit;
+    cold_admission pacing;
+    std::uint64_t declined_by_evacuation = 0;
+    std::uint64_t waits_for_cold_limit = 0;
+    bool is_evacuated = false;
     bool is_stopping = false;
     bool is_checking_for_crash = false;
     time_point next_tick{};
--- a/src/mesh/upstream_runner_reservations.cpp
+++ b/src/mesh/upstream_runner_reservations.cpp
@@ -39,6 +39,7 @@
     if (!this->accepts_work(now) || current->service != message.service) {
         const auto reason =
             this->is_stopping ? decline_reason::stopping : decline_reason::no_upstream;
+        this->declined_by_evacuation += this->is_evacuated ? 1 : 0;
         this->reply_to(from, reservation_declined_message{message.id, reason, wait});
         return;
     }
@@ -55,7 +56,7 @@
         this->reserve_on_probation(entry);
         return;
     }
-    if (this->slots_in_use < this->max_slots_in_use() && this->queue.size() == 0) {
+    if (this->queue.size() == 0 && this->may_offer(now)) {
         this->runs[entry->key] = entry;
         this->tickets[entry->ticket] = entry;
         this->offer(entry);
@@ -63,25 +64,28 @@
     }
     const queued_request work{entry->ticket, message.organisation, message.rank,
                               now + message.start_within, message.expected_run};
-    const auto expected = this->queue.push(work, now);
+    const auto cold_wait =
+        this->pacing.wait_for(this->queue.size() + this->slots_offered, this->warm_capacity(), now);
+    const auto expected =
+        cold_wait < message.start_within ? this->queue.push(work, now) : std::nullopt;
+    this->waits_for_cold_limit += expected && this->has_free_slot() ? 1 : 0;
     if (!expected) {
-        this->reply_to(from,
-                       reservation_declined_message{message.id, decline_reason::overloaded, wait});
+        this->reply_to(from, reservation_declined_message{message.id, decline_reason::overloaded,
+                                                          std::max(wait, cold_wait)});
         return;
     }
     this->runs[entry->key] = entry;
     this->tickets[entry->ticket] = entry;
-    this->reply_to(
-        from, reservation_accepted_message{message.id, false,
-                                           expected->wait + this->reservation_cost(message, now)});
+    this->reply_to(from, reservation_accepted_message{message.id, false,
+                                                      std::max(expected->wait, cold_wait) +
+                                                          this->reservation_cost(message, now)});
     this->arm_timer();
 }
 
 void upstream_runner::reserve_on_probation(const run_pointer& entry)
 {
     const time_point now = boot_clock::now();
-    if (!this->failing.admits(entry->reservation.is_repeatable, now) ||
-        this->slots_in_use >= this->max_slots_in_use()) {
+    if (!this->failing.admits(entry->reservation.is_repeatable, now) || !this->may_offer(now)) {
         this->reply_to(entry->key.first,
                        reservation_declined_message{entry->key.second, decline_reason::on_probation,
                                                     this->failing.time_to_next_trial(now)});
@@ -112,6 +116,7 @@
     entry->offered_until = now + offer_lifetime;
     this->upstream_retries.hold(entry->reservation.retry_share);
     ++this->slots_in_use;
+    ++this->slots_offered;
     this->reply_to(entry->key.first, reservation_accepted_message{entry->key.second, true, cost});
     this->arm_timer();
 }
@@ -127,6 +132,7 @@
     if (entry->state == stage::offered) {
         this->upstream_retries.release(entry->reservation.retry_share);
         --this->slots_in_use;
+        --this->slots_offered;
         if (entry->is_trial) {
             this->failing.end_trial();
         }
@@ -136,8 +142,7 @@
 void upstream_runner::offer_next()
 {
     const time_point now = boot_clock::now();
-    while (this->accepts_work(now) && !this->failing.is_active() &&
-           this->slots_in_use < this->max_slots_in_use()) {
+    while (this->accepts_work(now) && !this->failing.is_active() && this->may_offer(now)) {
         const auto ticket = this->queue.pop(now);
         if (!ticket) {
             return;
@@ -197,7 +202,7 @@
         cost = cost_when_idle(cost, this->last_run_at, now);
     }
     const auto& current = this->reports.current();
-    if (current && now < current->cold_until) {
+    if (current && (now < current->cold_until || this->pacing.is_cold(now))) {
         cost += reservation.expected_run;
     }
     return cost;
--- a/src/mesh/upstream_runner_runs.cpp
+++ b/src/mesh/upstream_runner_runs.cpp
@@ -86,6 +86,8 @@
     entry->started_at = boot_clock::now();
     entry->deadline = entry->started_at + message.time_left;
     this->last_run_at = entry->started_at;
+    --this->slots_offered;
+    this->pacing.record_sent(entry->started_at);
     this->upstream_retries.record_sent(entry->reservation.retry_share, entry->started_at);
     entry->fingerprint = message.fingerprint;
     if (const auto id = find_header(message.head.headers, this->names.request_id)) {
--- a/test/support/memory_shared_store.hpp
+++ b/test/support/memory_shared_store.hpp
@@ -30,6 +30,11 @@
         this->items[key] = {{key, value, ++this->revision, false}, lease};
     }
 
+    void remove(const std::string& key)
+    {
+        this->items[key] = {{key, "", ++this->revision, true}, 0};
+    }
+
     std::size_t count(const std::string& prefix) const
     {
         return static_cast<std::size_t>(
--- a/test/support/mesh_fleet.cpp
+++ b/test/support/mesh_fleet.cpp
@@ -33,6 +33,9 @@
     settings.peer_address = address_of(vm, 1);
     settings.stop_timeout = stop_timeout;
     settings.configuration_key = "op/config";
+    settings.keys.evacuation_prefix = "op/evacuate/";
+    settings.cold_tolerance.overage = 1.5;
+    settings.cold_tolerance.slack = 2;
     settings.names = platform::platform_header_names();
     return settings;
 }
@@ -92,7 +95,54 @@
     return nullptr;
 }
 
+void store_path::read(const std::string& prefix, read_freshness freshness,
+                      std::function<void(std::optional<stored_range>)> done)
+{
+    if (!this->is_cut) {
+        this->store.read(prefix, freshness, std::move(done));
+    }
+}
+
+void store_path::watch(const std::string& prefix, store_revision after,
+                       std::chrono::milliseconds wait,
+                       std::function<void(std::optional<stored_changes>)> done)
+{
+    if (!this->is_cut) {
+        this->store.watch(prefix, after, wait, std::move(done));
+    }
+}
+
+void store_path::commit(const commit_request& request, std::function<void(commit_outcome)> done)
+{
+    if (!this->is_cut) {
+        this->store.commit(request, std::move(done));
+    }
+}
+
+void store_path::grant_lease(std::chrono::milliseconds time_to_live,
+                             std::function<void(std::optional<lease_grant>)> done)
+{
+    if (!this->is_cut) {
+        this->store.grant_lease(time_to_live, std::move(done));
+    }
+}
+
+void store_path::renew_lease(store_lease lease, std::function<void(lease_outcome)> done)
+{
+    if (!this->is_cut) {
+        this->store.renew_lease(lease, std::move(done));
+    }
+}
+
+void store_path::end_lease(store_lease lease)
+{
+    if (!this->is_cut) {
+        this->store.end_lease(lease);
+    }
+}
+
 mesh_fleet::mesh_fleet(std::size_t count, std::chrono::milliseconds stop_timeout)
+    : node_stop_timeout(stop_timeout)
 {
     this->configure("r1", {"first-key"});
     for (std::size_t index = 0; index < count; ++index) {
@@ -101,8 +151,9 @@
         vm.upstream =
             std::make_unique<loopback_upstream>(this->context, "upstream-" + std::to_string(index));
         vm.upstream->listen(vm.upstream_address);
+        vm.path = std::make_unique<store_path>(this->store);
         vm.node = std::make_unique<mesh_node>(this->context, settings_of(index, stop_timeout),
-                                              this->store, platform::decode_configuration);
+                                              *vm.path, platform::decode_configuration);
         vm.node->start();
         vm.callers = std::make_unique<http_client_pool>(this->context, 1U << 20U, 64U << 20U);
         vm.callers->set_address(address_of(index, 0));
@@ -135,14 +186,29 @@
     this->store.put("op/config", document.dump());
 }
 
+void mesh_fleet::restart_node(std::size_t index)
+{
+    loopback_vm& vm = this->vms[index];
+    bool is_stopped = false;
+    vm.node->stop([&] { is_stopped = true; });
+    this->run_until([&] { return is_stopped; });
+    vm.path->is_cut = true;
+    this->stopped_nodes.emplace_back(std::move(vm.path), std::move(vm.node));
+    vm.path = std::make_unique<store_path>(this->store);
+    vm.node =
+        std::make_unique<mesh_node>(this->context, settings_of(index, this->node_stop_timeout),
+                                    *vm.path, platform::decode_configuration);
+    vm.node->start();
+}
+
 void mesh_fleet::check_in(std::size_t vm, const std::string& state, std::int64_t sequence,
-                          std::int64_t born)
+                          std::int64_t born, const std::string& cold_remaining)
 {
     const nlohmann::json body{
         {"address", this->vms[vm].upstream_address},
         {"born", born},
         {"info", {{"service", "books"}, {"version", "v1"}, {"zone", "ikeja"}, {"slots", 2}}},
-        {"status", {{"state", state}, {"sequence", sequence}, {"cold_remaining", "0ms"}}}};
+        {"status", {{"state", state}, {"sequence", sequence}, {"cold_remaining", cold_remaining}}}};
     const auto report = platform::decode_check_in("upstream-" + std::to_string(vm), body.dump());
     this->vms[vm].node->apply_check_in(*report);
 }
--- a/test/support/mesh_fleet.hpp
+++ b/test/support/mesh_fleet.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -39,9 +40,34 @@
     dragonflyroad::event_loop_http_server server;
 };
 
+/// The path of one node to the store. While it is cut, calls get no answer.
+class store_path : public dragonflyroad::shared_store {
+public:
+    explicit store_path(dragonflyroad::shared_store& far_end) : store(far_end) {}
+
+    void read(const std::string& prefix, dragonflyroad::read_freshness freshness,
+              std::function<void(std::optional<dragonflyroad::stored_range>)> done) override;
+    void watch(const std::string& prefix, dragonflyroad::store_revision after,
+               std::chrono::milliseconds wait,
+               std::function<void(std::optional<dragonflyroad::stored_changes>)> done) override;
+    void commit(const dragonflyroad::commit_request& request,
+                std::function<void(dragonflyroad::commit_outcome)> done) override;
+    void grant_lease(std::chrono::milliseconds time_to_live,
+                     std::function<void(std::optional<dragonflyroad::lease_grant>)> done) override;
+    void renew_lease(dragonflyroad::store_lease lease,
+                     std::function<void(dragonflyroad::lease_outcome)> done) override;
+    void end_lease(dragonflyroad::store_lease lease) override;
+
+    bool is_cut = false;
+
+private:
+    dragonflyroad::shared_store& store;
+};
+
 /// A simulated VM: a node, its upstream and a client for the node.
 struct loopback_vm {
     std::unique_ptr<loopback_upstream> upstream;
+    std::unique_ptr<store_path> path;
     std::unique_ptr<dragonflyroad::mesh_node> node;
     std::string upstream_address;
     std::unique_ptr<dragonflyroad::http_client_pool> callers;
@@ -70,7 +96,9 @@
     void configure(const std::string& version, const std::vector<std::string>& keys);
     /// `born` tells the lifetimes of an upstream apart.
     void check_in(std::size_t vm, const std::string& state, std::int64_t sequence,
-                  std::int64_t born = 1000);
+                  std::int64_t born = 1000, const std::string& cold_remaining = "0ms");
+    /// Stops the VM's node and starts another process of it. The upstream runs on.
+    void restart_node(std::size_t vm);
     std::size_t total_runs() const;
 
     /// Maximum idle time of a connection that callers use again; zero: each opens a new one.
@@ -82,4 +110,8 @@
 
 private:
     std::string last_id;
+    std::chrono::milliseconds node_stop_timeout;
+    /// Nodes that have stopped; calls that they made may still return.
+    std::vector<std::pair<std::unique_ptr<store_path>, std::unique_ptr<dragonflyroad::mesh_node>>>
+        stopped_nodes;
 };
