--- a/src/mesh/node_directory.cpp
+++ b/src/mesh/node_directory.cpp
@@ -99,17 +99,36 @@
     }
     std::vector<vm_candidate> found;
     for (const auto& [node, entry] : this->entries) {
-        if (entry.service == service) {
+        if (entry.service == service && !this->evacuated.contains(entry.centre)) {
             found.push_back({node, entry.centre == centre, node == self});
         }
     }
     return this->listed[service] = service_candidates{found};
 }
 
+bool node_directory::set_evacuated(const data_centre& centre, bool is_evacuated)
+{
+    const bool is_change =
+        is_evacuated ? this->evacuated.add(centre) : this->evacuated.remove(centre);
+    if (is_change) {
+        this->listed.clear();
+    }
+    return is_change;
+}
+
 std::size_t node_directory::count_upstreams(const service_name& service) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
         this->entries, [&](const auto& item) { return item.second.service == service; }));
 }
 
+bool node_directory::is_evacuated(const service_name& service) const
+{
+    return this->count_upstreams(service) > 0 &&
+           std::ranges::none_of(this->entries, [&](const auto& item) {
+               return item.second.service == service &&
+                      !this->evacuated.contains(item.second.centre);
+           });
+}
+
 } // namespace dragonflyroad
--- a/src/mesh/node_directory.hpp
+++ b/src/mesh/node_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.hpp"
+#include "dispatch/evacuated_centres.hpp"
 #include "dispatch/vm_selector.hpp"
 
 #include <cstdint>
@@ -45,15 +46,25 @@
     std::size_t size() const { return this->entries.size(); }
     const std::map<node_id, node_entry>& all() const { return this->entries; }
 
-    /// The VMs whose upstream provides the service, as seen by the node `self` in `centre`. Listed
-    /// once for each change of the directory. Valid until the next change.
+    /// The VMs whose upstream provides the service, except those in evacuated data centres, as seen
+    /// by the node `self` in `centre`. Listed once for each change of the directory. Valid until
+    /// the next change.
     service_candidates& candidates(const service_name& service, const node_id& self,
                                    const data_centre& centre);
 
     std::size_t count_upstreams(const service_name& service) const;
 
+    /// Whether the service has upstreams and all of them are in evacuated data centres.
+    bool is_evacuated(const service_name& service) const;
+
+    /// Adds a data centre to those that get no work, or removes it. False when this changes
+    /// nothing.
+    bool set_evacuated(const data_centre& centre, bool is_evacuated);
+    const evacuated_centres& evacuations() const { return this->evacuated; }
+
 private:
     std::map<node_id, node_entry> entries;
+    evacuated_centres evacuated;
     std::map<service_name, service_candidates> listed;
 };
 
--- a/src/mesh/node_registration.cpp
+++ b/src/mesh/node_registration.cpp
@@ -80,12 +80,13 @@
     this->arm_timer();
 }
 
-void node_registration::publish(const node_entry& own)
+void node_registration::publish(const node_entry& own, const std::string& departures)
 {
-    if (own == this->self) {
+    if (own == this->self && departures == this->departed) {
         return;
     }
     this->self = own;
+    this->departed = departures;
     this->is_entry_written = false;
     this->first_write_at = {};
     this->write_entry();
@@ -120,6 +121,7 @@
                                  static_cast<std::uint64_t>(entry_rewrite_spread.count());
     this->entry_lease.begin_era(now + milliseconds{static_cast<std::int64_t>(spread)});
     this->is_entry_written = false;
+    this->written_departed.clear();
     this->handlers.era_begun();
 }
 
@@ -134,7 +136,13 @@
     const store_lease used = this->entry_lease.id();
     commit_request request;
     request.writes.push_back({this->keys.vm(written.node), written.to_text(), used});
-    this->store.commit(request, [this, written, used](commit_outcome outcome) {
+    // The departures outlast this process, so they are under no lease. They go with the entry,
+    // which changes when the upstream leaves, and cost no call of their own.
+    const std::string departures = this->departed;
+    if (departures != this->written_departed) {
+        request.writes.push_back({this->keys.departures(written.node), departures, 0});
+    }
+    this->store.commit(request, [this, written, used, departures](commit_outcome outcome) {
         this->is_writing_entry = false;
         this->record_commit(outcome);
         this->sync_era();
@@ -142,7 +150,8 @@
             return;
         }
         if (outcome == commit_outcome::committed) {
-            this->is_entry_written = written == this->self;
+            this->written_departed = departures;
+            this->is_entry_written = written == this->self && departures == this->departed;
         }
         else if (outcome == commit_outcome::lease_ended) {
             this->entry_lease.on_ended();
--- a/test/support/mesh_fleet.cpp
+++ b/test/support/mesh_fleet.cpp
@@ -34,6 +34,9 @@
     settings.peer_address = address_of(vm, 1);
     settings.stop_timeout = stop_timeout;
     settings.configuration_key = "op/config";
+    settings.keys.evacuation_prefix = "op/evacuate/";
+    settings.cold_tolerance.overage = 1.5;
+    settings.cold_tolerance.slack = 2;
     settings.names = platform::platform_header_names();
     return settings;
 }
@@ -94,6 +97,7 @@
 }
 
 mesh_fleet::mesh_fleet(std::size_t count, std::chrono::milliseconds stop_timeout)
+    : node_stop_timeout(stop_timeout)
 {
     this->configure("r1", {"first-key"});
     for (std::size_t index = 0; index < count; ++index) {
@@ -137,14 +141,29 @@
     this->store.put("op/config", document.dump());
 }
 
+void mesh_fleet::restart_node(std::size_t index)
+{
+    loopback_vm& vm = this->vms[index];
+    bool is_stopped = false;
+    vm.node->stop([&] { is_stopped = true; });
+    this->run_until([&] { return is_stopped; });
+    vm.store->set_refused(true);
+    this->stopped_nodes.emplace_back(std::move(vm.store), std::move(vm.node));
+    vm.store = std::make_unique<store_port>(this->store);
+    vm.node =
+        std::make_unique<mesh_node>(this->context, settings_of(index, this->node_stop_timeout),
+                                    *vm.store, platform::decode_configuration);
+    vm.node->start();
+}
+
 void mesh_fleet::check_in(std::size_t vm, const std::string& state, std::int64_t sequence,
-                          std::int64_t born)
+                          std::int64_t born, const std::string& cold_remaining)
 {
     const nlohmann::json body{
         {"address", this->vms[vm].upstream_address},
         {"born", born},
         {"info", {{"service", "books"}, {"version", "v1"}, {"zone", "ikeja"}, {"slots", 2}}},
-        {"status", {{"state", state}, {"sequence", sequence}, {"cold_remaining", "0ms"}}}};
+        {"status", {{"state", state}, {"sequence", sequence}, {"cold_remaining", cold_remaining}}}};
     const auto report = platform::decode_check_in("upstream-" + std::to_string(vm), body.dump());
     this->vms[vm].node->apply_check_in(*report);
 }
--- a/test/support/mesh_fleet.hpp
+++ b/test/support/mesh_fleet.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -72,7 +73,9 @@
     void configure(const std::string& version, const std::vector<std::string>& keys);
     /// `born` tells the lifetimes of an upstream apart.
     void check_in(std::size_t vm, const std::string& state, std::int64_t sequence,
-                  std::int64_t born = 1000);
+                  std::int64_t born = 1000, const std::string& cold_remaining = "0ms");
+    /// Stops the VM's node and starts another process of it. The upstream runs on.
+    void restart_node(std::size_t vm);
     std::size_t total_runs() const;
 
     /// Maximum idle time of a connection that callers use again; zero: each opens a new one.
@@ -84,4 +87,8 @@
 
 private:
     std::string last_id;
+    std::chrono::milliseconds node_stop_timeout;
+    /// Nodes that have stopped; calls that they made may still return.
+    std::vector<std::pair<std::unique_ptr<store_port>, std::unique_ptr<dragonflyroad::mesh_node>>>
+        stopped_nodes;
 };
