--- a/src/dispatch/probation.cpp
+++ b/src/dispatch/probation.cpp
@@ -44,6 +44,7 @@
         this->pause = std::min(this->pause * 2, longest_pause);
     }
     this->active = true;
+    this->is_caused_by_rejections = false;
     this->next_trial_at = now + this->pause;
 }
 
@@ -51,7 +52,16 @@
 {
     ++this->rejections_in_a_row;
     if (this->active || this->rejections_in_a_row >= min_rejections) {
+        const bool was_broken = this->active && !this->is_caused_by_rejections;
         this->record_fast_failure(now);
+        this->is_caused_by_rejections = !was_broken;
+    }
+}
+
+void probation::excuse_rejections()
+{
+    if (this->active && this->is_caused_by_rejections) {
+        this->record_success(true);
     }
 }
 
--- a/src/dispatch/probation.hpp
+++ b/src/dispatch/probation.hpp
@@ -31,6 +31,9 @@
 
     bool is_active() const { return this->active; }
 
+    /// Ends a probation that only rejections have caused: the service as a whole rejects requests.
+    void excuse_rejections();
+
     /// Whether a request may be sent as the next trial. A request that may not be repeated is used
     /// only when no repeatable one came for a while.
     bool admits(bool is_repeatable, time_point now) const;
@@ -42,6 +45,7 @@
 private:
     bool active = false;
     bool is_trial_open = false;
+    bool is_caused_by_rejections = false;
     int rejections_in_a_row = 0;
     std::chrono::milliseconds pause{0};
     time_point next_trial_at{};
