Order waiting work by the time it has left, serve late starts and reject early

Change: waiting_requests replaces fair_queue in work_queue: slot time shared between organisations, least time left first within one, pressing requests first while the others have time for three runs, late starts until twice the objective. The caller's node rejects at the door, stops asking after a sample of 16 declines, and chooses Retry-After. The node beside the upstream neither puts it on probation nor raises its cost for rejections while the service rejects as a whole. New in the reservation: late_start_within, optional on the wire.

--- a/src/dispatch/work_queue.hpp
+++ b/src/dispatch/work_queue.hpp
@@ -2,7 +2,7 @@
 
 #include "core/clock.hpp"
 #include "core/ids.hpp"
-#include "limits/fair_queue.hpp"
+#include "dispatch/waiting_requests.hpp"
 
 #include <array>
 #include <chrono>
@@ -32,10 +32,12 @@
     queue_ticket ticket = 0;
     organisation_id organisation;
     work_rank rank;
-    /// Latest useful start of the run; see reserve_message::start_within.
+    /// Latest start with which the answer is on time; see reserve_message::start_within.
     time_point latest_start;
     /// How long the request is expected to hold a slot.
     std::chrono::milliseconds expected_run{0};
+    /// Latest start with which a late answer is still of use; none when not after `latest_start`.
+    time_point latest_late_start{};
 };
 
 struct wait_estimate {
@@ -46,13 +48,14 @@
 /// at several upstreams and run at the first that offers a slot, so a queue empties faster than its
 /// upstream serves requests; the wait is therefore estimated from the rate at which requests leave
 /// the queue for any reason. A request that cannot start in time is declined at once instead of
-/// failing later.
+/// failing later. A request that is expected to be late, but not too late to be of use, waits
+/// behind those that can be on time.
 ///
 /// Calls made by upstreams and new requests are two classes. While both are waiting, calls get most
 /// of the slot time and new requests an eighth: declining a call wastes its caller's run, but an
 /// upstream that receives many calls would otherwise serve no new requests. Within a class,
-/// priorities are served in strict order, and organisations of the same priority by fair queueing.
-/// Not synchronised.
+/// priorities are served in strict order, unless work of lower priority is pressing while the rest
+/// has time, and requests of the same priority in the order of waiting_requests. Not synchronised.
 class work_queue {
 public:
     /// Sets the departure rate that is assumed until enough departures were seen and that later
@@ -60,7 +63,7 @@
     /// each class has its share of that rate.
     void set_capacity(std::size_t slots, std::chrono::milliseconds typical_run);
 
-    /// Adds work unless its estimated start is after `latest_start`. If the queue of its rank is
+    /// Adds work unless its estimated start is too late to be of use. If the queue of its rank is
     /// full, the newest work of the organisation with the most waiting work is removed without
     /// notice, which may be this work. Returns nothing when this work is declined.
     std::optional<wait_estimate> push(const queued_request& work, time_point now);
@@ -75,9 +78,8 @@
     /// Removes and returns work that can no longer start in time.
     std::vector<queue_ticket> expire(time_point now);
 
-    /// The expected wait of work with this rank and organisation if it were added now.
-    wait_estimate estimate(const work_rank& rank, const organisation_id& organisation,
-                           time_point now) const;
+    /// The expected wait of work if it were added now and could still be on time.
+    wait_estimate estimate(const queued_request& work, time_point now) const;
 
     /// Time until all that waits now has left the queue, to a slot or elsewhere.
     std::chrono::milliseconds drain_time(time_point now) const;
@@ -93,15 +95,20 @@
 
     /// One of the two classes: calls made by upstreams, or new requests.
     struct work_class {
-        std::map<work_rank, fair_queue> ranks;
+        std::map<work_rank, waiting_requests> ranks;
         std::deque<time_point> departures;
+        /// Arrivals that are expected to be on time.
+        std::deque<time_point> on_time_arrivals;
         /// Slot time served, divided by the class's share of the slot time.
         double virtual_time = 0;
         double share = 1;
 
         bool is_empty() const;
-        void record_departure(time_point now);
+        /// The queue to serve next: the first rank with waiting work, or a later one with a request
+        /// that is pressing if that makes nothing of the earlier ranks late.
+        waiting_requests* next_rank(time_point now);
         double departures_per_second(time_point now, double minimum_rate) const;
+        double on_time_arrivals_per_second(time_point now) const;
     };
 
     work_class& class_of(const work_rank& rank)
@@ -112,9 +119,13 @@
     {
         return this->classes[rank.is_new_request ? 1 : 0];
     }
+    /// The expected wait of work that is added behind everything of its rank.
+    wait_estimate estimate_late(const work_rank& rank, time_point now) const;
+    double departures_per_second(const work_rank& rank, time_point now) const;
     std::optional<queue_ticket> pop_from_class(work_class& source, time_point now);
 
-    std::array<work_class, 2> classes{work_class{{}, {}, 0, 0.875}, work_class{{}, {}, 0, 0.125}};
+    std::array<work_class, 2> classes{work_class{{}, {}, {}, 0, 0.875},
+                                      work_class{{}, {}, {}, 0, 0.125}};
     std::unordered_map<queue_ticket, entry> entries;
     double base_rate = 1;
 };
--- a/src/mesh/admission.cpp
+++ b/src/mesh/admission.cpp
@@ -102,6 +102,7 @@
     const auto bounded =
         route->timeout.count() > 0 ? std::min(requested, route->timeout) : requested;
     accepted.deadline = arrived + bounded - response_delivery_margin;
+    accepted.caller_deadline = arrived + requested;
     accepted.fingerprint =
         request_fingerprint(accepted.organisation, header_or_empty(request.head.headers, "Host"),
                             request.head.method, request.head.target, request.body);
--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -66,7 +66,7 @@
     if (!this->accepted.rank.is_new_request && this->owner.retry_share_of_call) {
         this->accepted.retry_share = this->owner.retry_share_of_call(this->accepted.id);
     }
-    if (this->refuse_if_crash_suspect()) {
+    if (this->refuse_if_crash_suspect() || this->refuse_at_door()) {
         return;
     }
     if (!this->accepted.needs_quota) {
@@ -130,15 +130,14 @@
 milliseconds dispatched_request::start_within() const
 {
     const time_point now = boot_clock::now();
-    const milliseconds run = this->expected_run();
-    const milliseconds until_deadline = milliseconds_between(now, this->accepted.deadline) - run;
+    const milliseconds until_deadline =
+        milliseconds_between(now, this->accepted.deadline) - this->expected_run();
     const milliseconds until_objective =
         milliseconds_between(now, this->accepted.arrived + this->accepted.route.latency_objective) -
-        run;
-    // A call made by an upstream holds a slot there, so a late answer is better than losing the
-    // caller's work. A request that was run before may be late, too.
-    const bool may_be_late = !this->accepted.rank.is_new_request || this->runs_started > 0;
-    return std::max(may_be_late ? until_deadline : std::min(until_objective, until_deadline),
+        this->expected_run();
+    // A call made by an upstream holds a slot there, so it is as urgent when it is late.
+    return std::max(this->accepted.rank.is_new_request ? std::min(until_objective, until_deadline)
+                                                       : until_deadline,
                     milliseconds{1});
 }
 
@@ -160,7 +159,7 @@
     this->round = this->owner.register_round(this->shared_from_this());
     this->last_reply_at = boot_clock::now();
     ++this->rounds_started;
-    this->was_overloaded = false;
+    this->overload_declines = 0;
     this->on_probation.clear();
     this->accepts_probation = false;
     this->declined = this->attempted_vms;
@@ -220,6 +219,7 @@
         this->may_have_been_sent || !this->runs.empty() ? 1.0 : this->accepted.retry_share;
     message.accepts_probation = this->accepts_probation;
     message.start_within = this->start_within();
+    message.late_start_within = this->late_start_within();
     message.failure_cost = this->failure_cost();
     message.expected_run = this->expected_run();
     for (const node_id& vm : chosen) {
@@ -243,6 +243,7 @@
         return;
     }
     const time_point now = boot_clock::now();
+    this->owner.door.record_accept(this->accepted.service, this->accepted.rank);
     this->last_reply_at = now;
     found->second = {true, message.is_offer, message.cost};
     if (message.is_offer && this->offer_hold_until == time_point{}) {
@@ -267,9 +268,11 @@
         this->shortest_wait = std::min(this->shortest_wait.value_or(message.wait), message.wait);
     }
     if (message.reason == decline_reason::overloaded) {
-        this->was_overloaded = true;
+        ++this->overload_declines;
         // The decline of a reservation that expired in the queue carries no wait estimate.
         if (message.wait > milliseconds{0}) {
+            this->owner.door.record_decline(this->accepted.service, this->accepted.rank,
+                                            message.wait, boot_clock::now());
             this->shortest_wait =
                 std::min(this->shortest_wait.value_or(message.wait), message.wait);
         }
@@ -285,7 +288,9 @@
 
 void dispatched_request::continue_after_decline()
 {
-    if (this->reserve_more(additional_reservations) || !this->reservations.empty()) {
+    const bool asks_more =
+        !this->accepted.rank.is_new_request || !is_sample_conclusive(this->overload_declines);
+    if ((asks_more && this->reserve_more(additional_reservations)) || !this->reservations.empty()) {
         this->evaluate_replies();
         return;
     }
@@ -297,8 +302,8 @@
     if (this->ask_upstreams_on_probation()) {
         return;
     }
-    this->fail_round(this->was_overloaded ? refusal_reason::overload_shed
-                                          : refusal_reason::no_healthy_upstream,
+    this->fail_round(this->overload_declines > 0 ? refusal_reason::overload_shed
+                                                 : refusal_reason::no_healthy_upstream,
                      ran::no, "every upstream declined");
 }
 
@@ -379,11 +384,4 @@
     this->offer_hold_until = {};
 }
 
-bool dispatched_request::awaits_reply_from(const node_id& node) const
-{
-    return this->reservations.contains(node) ||
-           std::ranges::any_of(this->runs,
-                               [&](const auto& item) { return item.second.vm == node; });
-}
-
 } // namespace dragonflyroad
--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -29,6 +29,8 @@
     time_point arrived{};
     /// Time by which the caller gets a response, if only a refusal.
     time_point deadline{};
+    /// Time until which the caller itself waits; the route may allow less.
+    time_point caller_deadline{};
     revision_number revision = 0;
     bool needs_quota = false;
     /// For a call that an upstream makes, the probability that a repeated run has made it.
@@ -81,6 +83,8 @@
         time_point link_lost_at{};
     };
 
+    /// Refuses the request if it could not start in time; see door_admission.
+    bool refuse_at_door();
     void ask_quota();
     void on_quota(const quota_decision& decision);
     void begin_round();
@@ -116,11 +120,18 @@
     /// with the failed answer of an earlier run, if there is one, and refused otherwise.
     void fail_round(refusal_reason reason, ran executed, const std::string& detail);
     void deliver(const response_message& message);
+    /// The Retry-After of a refusal of a request that did not run; nothing where waiting does not
+    /// help.
+    std::optional<std::chrono::milliseconds> retry_after(refusal_reason reason) const;
     void refuse(refusal_reason reason, ran executed, const std::string& detail);
     void finish(http_response answer);
     void release_all();
     std::chrono::milliseconds expected_run() const;
+    /// Time within which a run must start to meet the latency objective, or for a call that an
+    /// upstream makes, the deadline.
     std::chrono::milliseconds start_within() const;
+    /// Time within which a run must start so that most runs meet the deadline.
+    std::chrono::milliseconds late_start_within() const;
     std::chrono::milliseconds failure_cost() const;
 
     dispatcher& owner;
@@ -152,7 +163,8 @@
     time_point offer_hold_until{};
     /// Whether the quota's holder counted the request.
     bool is_quota_charged = false;
-    bool was_overloaded = false;
+    /// VMs that declined in this round because their queue is too long.
+    std::size_t overload_declines = 0;
     /// VMs that declined in this round because their upstream is on probation.
     std::set<node_id> on_probation;
     /// Whether those VMs are asked too: every other one has declined.
--- a/src/mesh/dispatched_request_end.cpp
+++ b/src/mesh/dispatched_request_end.cpp
@@ -56,6 +56,44 @@
     return true;
 }
 
+milliseconds dispatched_request::late_start_within() const
+{
+    const time_point now = boot_clock::now();
+    // Half of the runs take longer than the expected time. One that is cut by the deadline leaves
+    // its caller without an answer and with an unknown outcome.
+    const milliseconds until_deadline =
+        milliseconds_between(now, this->accepted.deadline) - this->expected_run() * 3 / 2;
+    // A caller that is refused after twice its objective has time to return.
+    const milliseconds until_twice_objective =
+        milliseconds_between(now,
+                             this->accepted.arrived + 2 * this->accepted.route.latency_objective) -
+        this->expected_run();
+    return std::max(this->runs_started > 0 ? until_deadline
+                                           : std::min(until_deadline, until_twice_objective),
+                    milliseconds{1});
+}
+
+bool dispatched_request::refuse_at_door()
+{
+    const time_point now = boot_clock::now();
+    const auto rejection = this->owner.door.decide(
+        {this->accepted.service, this->accepted.rank, now + this->late_start_within()}, now);
+    if (!rejection) {
+        return false;
+    }
+    ++this->owner.rejected_at_door;
+    log_line{"rejected_at_door"}
+        .add("request", this->accepted.id)
+        .add("service", this->accepted.service.value)
+        .add("shortest_wait_ms", rejection->retry_after.count())
+        .add("start_within_ms", this->late_start_within().count())
+        .add("declines", rejection->declines)
+        .add("evidence_age_ms", rejection->evidence_age.count());
+    this->shortest_wait = rejection->retry_after;
+    this->refuse(refusal_reason::overload_shed, ran::no, "every upstream is expected to decline");
+    return true;
+}
+
 bool dispatched_request::refuse_if_crash_suspect()
 {
     if (!this->runs.empty() ||
@@ -91,6 +129,30 @@
     this->finish(std::move(answer));
 }
 
+std::optional<milliseconds> dispatched_request::retry_after(refusal_reason reason) const
+{
+    const time_point now = boot_clock::now();
+    switch (reason) {
+    case refusal_reason::overload_shed:
+    case refusal_reason::queue_timeout:
+    case refusal_reason::upstream_refused:
+        return choose_retry_after(
+            {this->shortest_wait, this->expected_run(),
+             milliseconds_between(now,
+                                  this->accepted.arrived + this->accepted.route.latency_objective),
+             milliseconds_between(now, this->accepted.caller_deadline),
+             this->owner.rejections.is_service_wide(this->accepted.service, now)},
+            this->owner.random);
+    default:
+        break;
+    }
+    if (!this->shortest_wait) {
+        return std::nullopt;
+    }
+    const milliseconds left = milliseconds_between(now, this->accepted.deadline) / 3;
+    return std::clamp(*this->shortest_wait, milliseconds{100}, std::max(left, milliseconds{100}));
+}
+
 void dispatched_request::refuse(refusal_reason reason, ran executed, const std::string& detail)
 {
     refusal refused;
@@ -98,11 +160,8 @@
     refused.executed = executed;
     refused.detail = detail;
     refused.revision = this->accepted.revision;
-    if (executed == ran::no && this->shortest_wait) {
-        const milliseconds left =
-            milliseconds_between(boot_clock::now(), this->accepted.deadline) / 3;
-        refused.retry_after =
-            std::clamp(*this->shortest_wait, milliseconds{100}, std::max(left, milliseconds{100}));
+    if (executed == ran::no) {
+        refused.retry_after = this->retry_after(reason);
     }
     if (this->is_quota_charged && this->runs_started == 0) {
         this->quota.refund(this->accepted.organisation);
@@ -119,6 +178,7 @@
         .add("revision", this->accepted.revision)
         .add("elapsed_ms", milliseconds_between(this->accepted.arrived, boot_clock::now()).count())
         .add("declined", this->declined.size())
+        .add("retry_after_ms", refused.retry_after.value_or(milliseconds{0}).count())
         .add("detail", detail);
     http_response answer;
     answer.status = description.status;
--- a/src/mesh/dispatched_request_runs.cpp
+++ b/src/mesh/dispatched_request_runs.cpp
@@ -36,6 +36,10 @@
     this->runs[id] = {vm, now, {}};
     this->attempted_vms.insert(vm);
     ++this->runs_started;
+    const bool is_late = this->accepted.rank.is_new_request &&
+                         now + this->expected_run() >
+                             this->accepted.arrived + this->accepted.route.latency_objective;
+    this->owner.late_starts += is_late ? 1 : 0;
     run_message message;
     message.id = id;
     message.time_left = milliseconds_between(now, this->accepted.deadline);
@@ -70,6 +74,7 @@
     this->runs.erase(found);
     this->may_have_been_sent = true;
     this->owner.unregister_round(message.id);
+    this->owner.rejections.record(this->accepted.service, from, false, boot_clock::now());
     if (message.status < 500) {
         this->owner.crashes.record_success(this->accepted.fingerprint, boot_clock::now());
         this->owner.run_time_means.record(this->accepted.service, this->accepted.route.name,
@@ -104,12 +109,22 @@
     this->runs.erase(id);
     this->may_have_been_sent = this->may_have_been_sent || message.kind != run_failure::not_run;
     this->owner.unregister_round(id);
-    this->owner.selector.record_cost(vm, this->accepted.route.latency_objective / 2,
-                                     boot_clock::now());
+    const time_point now = boot_clock::now();
+    const bool is_rejection = message.kind == run_failure::refused;
+    if (is_rejection) {
+        this->owner.rejections.record(this->accepted.service, vm, true, now);
+    }
+    const bool is_service_wide =
+        is_rejection && this->owner.rejections.is_service_wide(this->accepted.service, now);
+    if (!is_service_wide) {
+        this->owner.selector.record_cost(vm, this->accepted.route.latency_objective / 2, now);
+    }
     log_line{"run_failed"}
         .add("request", this->accepted.id)
         .add("vm", vm.value)
         .add("kind", static_cast<int>(message.kind))
+        .add("rejected_share", this->owner.rejections.rejected_share(this->accepted.service, now))
+        .add("service_wide", is_service_wide)
         .add("detail", message.detail);
     if (!this->runs.empty() || this->round != 0) {
         return;
@@ -182,6 +197,13 @@
     return found != this->runs.end() && found->second.vm == node;
 }
 
+bool dispatched_request::awaits_reply_from(const node_id& node) const
+{
+    return this->reservations.contains(node) ||
+           std::ranges::any_of(this->runs,
+                               [&](const auto& item) { return item.second.vm == node; });
+}
+
 void dispatched_request::arm_tick()
 {
     const time_point now = boot_clock::now();
--- a/src/mesh/dispatcher.hpp
+++ b/src/mesh/dispatcher.hpp
@@ -3,7 +3,9 @@
 #include "adapters/metrics.hpp"
 #include "core/random.hpp"
 #include "dispatch/crash_guard.hpp"
+#include "dispatch/door_admission.hpp"
 #include "dispatch/service_load.hpp"
+#include "dispatch/service_rejections.hpp"
 #include "dispatch/vm_selector.hpp"
 #include "mesh/link_message.hpp"
 #include "mesh/node_directory.hpp"
@@ -12,6 +14,7 @@
 #include "mesh/routing_table.hpp"
 #include "mesh/run_times.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -65,9 +68,14 @@
     node_directory directory;
     vm_selector selector;
     service_load loads;
+    door_admission door;
+    service_rejections rejections;
     run_times run_time_means;
     crash_guard crashes;
     metrics counters;
+    /// Requests refused on arrival, and runs that started too late to meet their objective.
+    std::uint64_t rejected_at_door = 0;
+    std::uint64_t late_starts = 0;
     std::function<void(const node_id&)> reconnect;
     /// Called when a call that the upstream on this VM made through this node has failed.
     std::function<void()> on_nested_call_failed;
--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -16,6 +16,15 @@
 using milliseconds = std::chrono::milliseconds;
 
 /// Encodes a message as an array: the index of its type in link_message, then its fields in order.
+/// The last field of a message, which nodes of an earlier version do not send.
+template<typename Value>
+struct optional_field {
+    Value& value;
+};
+
+template<typename Value>
+optional_field(Value&) -> optional_field<Value>;
+
 class field_writer {
 public:
     explicit field_writer(std::size_t kind) : fields(json::array({kind})) {}
@@ -68,6 +77,12 @@
     requires std::is_enum_v<Enumeration>
     void operator()(Enumeration value) { this->fields.push_back(static_cast<int>(value)); }
 
+    template<typename Value>
+    void operator()(const optional_field<Value>& field)
+    {
+        (*this)(field.value);
+    }
+
     json fields;
 };
 
@@ -88,6 +103,14 @@
         }
     }
 
+    template<typename Value>
+    void operator()(const optional_field<Value>& field)
+    {
+        if (!this->is_finished()) {
+            (*this)(field.value);
+        }
+    }
+
     bool is_finished() const { return this->next == this->fields.size(); }
 
 private:
@@ -168,6 +191,7 @@
         archive(message.accepts_probation);
         archive(message.start_within);
         archive(message.failure_cost), archive(message.expected_run);
+        archive(optional_field{message.late_start_within});
     }
     else if constexpr (std::is_same_v<type, reservation_accepted_message>) {
         archive(message.id), archive(message.is_offer), archive(message.cost);
--- a/src/mesh/link_message.hpp
+++ b/src/mesh/link_message.hpp
@@ -45,12 +45,15 @@
     /// Whether an upstream on probation may be offered: every other one has declined.
     bool accepts_probation = false;
     /// Time within which the run must start: for a new request, so that the answer meets the
-    /// latency objective; for a call made by an upstream or a retry, so that it meets the deadline.
+    /// latency objective; for a call made by an upstream, so that it meets the deadline.
     std::chrono::milliseconds start_within{0};
     /// Cost of a failed run, expressed as waiting time.
     std::chrono::milliseconds failure_cost{0};
     /// Mean run time of such requests over the whole service, as measured by the sender.
     std::chrono::milliseconds expected_run{0};
+    /// Time within which a start still allows an answer by the deadline, if that is later than
+    /// `start_within`; 0 from a node of an earlier version.
+    std::chrono::milliseconds late_start_within{0};
 };
 
 /// Cancels a reservation; no request was sent to the upstream for it.
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -82,6 +82,9 @@
     this->requests.retry_share_of_call = [this](std::string_view call_id) {
         return this->runner.retry_share_of_call(call_id);
     };
+    this->runner.set_rejection_view([this](const service_name& service) {
+        return this->requests.rejections.is_service_wide(service, boot_clock::now());
+    });
     this->runner.on_change([this] { this->publish(); });
     this->runner.on_crash([this](const upstream_crash& crash) {
         this->requests.crashes.add(crash, boot_clock::now());
@@ -473,6 +476,12 @@
         "running", "gauge", [this] { return static_cast<double>(this->runner.busy_slot_count()); });
     counters.add_metric_callback(
         "waiting", "gauge", [this] { return static_cast<double>(this->runner.queued_count()); });
+    counters.add_metric_callback("rejected_at_door_total", "counter", [this] {
+        return static_cast<double>(this->requests.rejected_at_door);
+    });
+    counters.add_metric_callback("late_starts_total", "counter", [this] {
+        return static_cast<double>(this->requests.late_starts);
+    });
     counters.add_metric_callback("upstream_connections_total", "counter", [this] {
         return static_cast<double>(this->runner.connections_opened());
     });
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -72,6 +72,12 @@
 
     /// Declines new work from now on; open runs continue.
     void begin_stop();
+    /// Sets the function that tells whether a service as a whole rejects requests, as far as this
+    /// node knows; see service_rejections.
+    void set_rejection_view(std::function<bool(const service_name&)> function)
+    {
+        this->is_rejecting_widely = std::move(function);
+    }
     /// Changes the limit on repeats; what was sent in the current window stays counted.
     void set_retry_limit(const service_retry_limit& bound)
     {
@@ -135,6 +141,7 @@
     /// trial or declines.
     void reserve_on_probation(const run_pointer& entry);
     void decline_waiting(decline_reason reason);
+    bool is_service_rejecting() const;
     void record_fast_failure(const run_pointer& entry, bool is_rejection, time_point now);
     /// Frees the slot and the retry budget that an offer holds.
     void withdraw_offer(const run_pointer& entry);
@@ -183,6 +190,7 @@
     std::map<run_key, run_pointer> runs;
     std::map<queue_ticket, run_pointer> tickets;
     std::map<node_id, peer> peers;
+    std::function<bool(const service_name&)> is_rejecting_widely;
     std::function<void()> upstream_changed;
     std::function<void(const upstream_crash&)> crash_found;
     queue_ticket last_ticket = 0;
--- a/src/mesh/upstream_runner_reservations.cpp
+++ b/src/mesh/upstream_runner_reservations.cpp
@@ -36,7 +36,10 @@
 {
     const time_point now = boot_clock::now();
     const auto& current = this->reports.current();
-    const auto wait = this->queue.estimate(message.rank, message.organisation, now).wait;
+    const queued_request work{this->last_ticket + 1, message.organisation,
+                              message.rank,          now + message.start_within,
+                              message.expected_run,  now + message.late_start_within};
+    const auto wait = this->queue.estimate(work, now).wait;
     if (!this->accepts_work(now) || current->service != message.service) {
         const auto reason =
             this->is_stopping ? decline_reason::stopping : decline_reason::no_upstream;
@@ -53,6 +56,9 @@
     entry->key = {from, message.id};
     entry->ticket = ++this->last_ticket;
     entry->reservation = message;
+    if (this->failing.is_active() && this->is_service_rejecting()) {
+        this->failing.excuse_rejections();
+    }
     if (this->failing.is_active() && !message.accepts_probation) {
         this->reserve_on_probation(entry);
         return;
@@ -63,8 +69,6 @@
         this->offer(entry);
         return;
     }
-    const queued_request work{entry->ticket, message.organisation, message.rank,
-                              now + message.start_within, message.expected_run};
     const auto expected = this->queue.push(work, now);
     if (!expected) {
         this->reply_to(from, reservation_declined_message{message.id, decline_reason::overloaded,
--- a/src/mesh/upstream_runner_runs.cpp
+++ b/src/mesh/upstream_runner_runs.cpp
@@ -45,6 +45,12 @@
 
 } // namespace
 
+bool upstream_runner::is_service_rejecting() const
+{
+    return this->is_rejecting_widely && this->reports.current() &&
+           this->is_rejecting_widely(this->reports.current()->service);
+}
+
 void upstream_runner::record_fast_failure(const run_pointer& entry, bool is_rejection,
                                           time_point now)
 {
@@ -277,13 +283,16 @@
                                   entry->reservation.expected_run)) {
             return;
         }
+        const auto* failed = std::get_if<failed_message>(&outcome);
+        const bool is_rejection = failed != nullptr && failed->kind == run_failure::refused;
+        if (is_rejection && this->is_service_rejecting()) {
+            return;
+        }
         if (answer == nullptr || now > this->last_call_failure_at + call_failure_window) {
             this->health.record_failure(now);
             const auto elapsed = milliseconds_between(entry->started_at, now);
             if (!may_be_stale && is_fast_failure(elapsed, entry->reservation.expected_run)) {
-                const auto* failed = std::get_if<failed_message>(&outcome);
-                this->record_fast_failure(
-                    entry, failed != nullptr && failed->kind == run_failure::refused, now);
+                this->record_fast_failure(entry, is_rejection, now);
             }
         }
         return;
--- a/test/correctness/test_dispatched_request.cpp
+++ b/test/correctness/test_dispatched_request.cpp
@@ -117,3 +117,36 @@
     probe.offer(late, 0ms);
     CHECK(probe.receivers<run_message>() == std::vector{late});
 }
+
+// Guards against callers that are held while every upstream of an overloaded service is asked: the
+// upstreams that are asked first stand for the others.
+TEST_CASE("a request is refused with a time to return when a sample of upstreams is full")
+{
+    request_probe probe{40};
+    probe.start("POST", false);
+    std::set<node_id> declined;
+    for (int step = 0; step < 100 && !probe.answer; ++step) {
+        for (const auto& vm : probe.receivers<reserve_message>()) {
+            if (!probe.answer && declined.insert(vm).second) {
+                probe.decline(vm, decline_reason::overloaded);
+            }
+        }
+        probe.pass(1ms);
+    }
+    REQUIRE(probe.answer.has_value());
+    CHECK(probe.answer->status == 503);
+    // 16 declines are the sample; eight more reservations may be open by then.
+    CHECK(declined.size() <= 16 + 8);
+    CHECK(find_header(probe.answer->headers, "Retry-After").has_value());
+    CHECK(probe.receivers<run_message>().empty());
+}
+
+// Guards against requests that are dropped when they can no longer be on time, although their
+// callers wait longer.
+TEST_CASE("a reservation names the last start for a late answer beside that for one on time")
+{
+    request_probe probe{2};
+    probe.start("POST", false);
+    const auto terms = probe.last_terms(probe.receivers<reserve_message>().front());
+    CHECK(terms.start_within < terms.late_start_within);
+}
--- a/test/correctness/test_mesh_formats.cpp
+++ b/test/correctness/test_mesh_formats.cpp
@@ -76,12 +76,14 @@
     sent.id = 9;
     sent.retry_share = 0.25;
     sent.start_within = 700ms;
+    sent.late_start_within = 2500ms;
     const auto received = decode_link_message(encode_link_message(sent), "peer");
     REQUIRE(received.has_value());
     const auto& message = std::get<reserve_message>(*received);
     CHECK(message.retry_share == 0.25);
     CHECK_FALSE(message.is_repeatable);
     CHECK(message.start_within == 700ms);
+    CHECK(message.late_start_within == 2500ms);
     const reservation_declined_message refused{9, decline_reason::retry_budget_exhausted, 0ms};
     const auto answer = decode_link_message(encode_link_message(refused), "peer");
     REQUIRE(answer.has_value());
