--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -16,6 +16,15 @@
 using milliseconds = std::chrono::milliseconds;
 
 /// Encodes a message as an array: the index of its type in link_message, then its fields in order.
+/// The last field of a message, which nodes of an earlier version do not send.
+template<typename Value>
+struct optional_field {
+    Value& value;
+};
+
+template<typename Value>
+optional_field(Value&) -> optional_field<Value>;
+
 class field_writer {
 public:
     explicit field_writer(std::size_t kind) : fields(json::array({kind})) {}
@@ -68,8 +77,11 @@
     requires std::is_enum_v<Enumeration>
     void operator()(Enumeration value) { this->fields.push_back(static_cast<int>(value)); }
 
-    /// A field that other versions may lack; the last ones of a message.
-    void optional(const auto& value) { (*this)(value); }
+    template<typename Value>
+    void operator()(const optional_field<Value>& field)
+    {
+        (*this)(field.value);
+    }
 
     json fields;
 };
@@ -92,10 +104,10 @@
     }
 
     template<typename Value>
-    void optional(Value& value)
+    void operator()(const optional_field<Value>& field)
     {
         if (!this->is_finished()) {
-            (*this)(value);
+            (*this)(field.value);
         }
     }
 
@@ -179,6 +191,7 @@
         archive(message.accepts_probation);
         archive(message.start_within);
         archive(message.failure_cost), archive(message.expected_run);
+        archive(optional_field{message.late_start_within});
     }
     else if constexpr (std::is_same_v<type, reservation_accepted_message>) {
         archive(message.id), archive(message.is_offer), archive(message.cost);
@@ -214,14 +227,14 @@
     else if constexpr (std::is_same_v<type, follow_message>) {
         archive(message.nonce), archive(message.after), archive(message.configuration);
         archive(message.wait), archive(message.wants_large_update);
-        archive.optional(message.era);
+        archive(optional_field{message.era});
     }
     else if constexpr (std::is_same_v<type, follow_reply_message>) {
         archive(message.nonce), archive(message.revision), archive(message.is_history_lost);
         archive(message.has_proof), archive(message.proof_age);
         archive(message.configuration_revision), archive(message.configuration);
         archive(message.items);
-        archive.optional(message.era), archive.optional(message.is_whole);
+        archive(optional_field{message.era}), archive(optional_field{message.is_whole});
     }
     else if constexpr (requires { message.id; }) {
         archive(message.id);
