Withdraw offers at the first fast failure, and claim quota groups when the nodes know each other

Change: the first fast failure ends the offers too; a request that uses one is answered as not run and goes elsewhere.

Change: at the first start of a fleet, the claims wait for 4 s and the first read for 2.3 s.

--- a/src/mesh/fleet_view.cpp
+++ b/src/mesh/fleet_view.cpp
@@ -25,6 +25,11 @@
 
 constexpr milliseconds maintenance_interval{250};
 
+/// Delay of the first read when the whole fleet starts for the first time: every node has written
+/// its entry 1.9 s after the first one started, so this read finds the node to follow. Earlier, it
+/// would have to watch the store itself.
+constexpr milliseconds first_start_read_delay{2'300};
+
 /// Followers read larger configuration updates from the store: 26 followers of a VM with a link of
 /// 11 Mbit/s would wait 0.3 s for an update of this size.
 constexpr std::size_t large_update_bytes = 16U << 10U;
@@ -51,7 +56,12 @@
     this->self = own;
     this->started_at = boot_clock::now();
     this->source_choice.emplace(own.node);
-    this->read_all(first_read);
+    if (first_read == read_freshness::may_be_stale) {
+        this->fetch_changes_after(first_start_read_delay);
+    }
+    else {
+        this->read_all(first_read);
+    }
     this->arm_maintenance();
 }
 
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -270,7 +270,7 @@
     }
     const node_entry own = this->own_entry();
     this->requests.directory.put(own);
-    this->registration.start(own);
+    this->registration.start(own, this->options.is_first_start);
     this->view.start(own, this->options.is_first_start ? read_freshness::may_be_stale
                                                        : read_freshness::newest);
     return true;
--- a/src/mesh/node_registration.cpp
+++ b/src/mesh/node_registration.cpp
@@ -35,6 +35,11 @@
 /// each other.
 constexpr milliseconds first_claim_delay{2'200};
 
+/// The same when the whole fleet starts for the first time and no node knows another one: all have
+/// written their entries after 1.9 s, and the others have read them 1.4 s later. Callers come later
+/// still. A claim that is made without knowing the others loses, and costs a write and a lease.
+constexpr milliseconds first_start_claim_delay{4'000};
+
 /// The nodes of a large fleet write their entries again within this time of a new era, so that the
 /// two writes of each stay below the store's limit of writes per second. Together with the time in
 /// which they learn of the era, the entries are back within two seconds.
@@ -69,12 +74,12 @@
     this->is_entry_written = false;
 }
 
-void node_registration::start(const node_entry& own)
+void node_registration::start(const node_entry& own, bool is_first_start)
 {
     const time_point now = boot_clock::now();
     this->self = own;
     this->first_write_at = now + first_write_delay;
-    this->vacant_since.fill(now + first_claim_delay);
+    this->vacant_since.fill(now + (is_first_start ? first_start_claim_delay : first_claim_delay));
     this->entry_lease.set_wanted(true);
     this->entry_lease.maintain(now);
     this->arm_timer();
--- a/src/mesh/node_registration.hpp
+++ b/src/mesh/node_registration.hpp
@@ -67,8 +67,9 @@
     node_registration(boost::asio::io_context& loop, shared_store& platform_store,
                       fleet_keys store_keys, callbacks functions);
 
-    /// Writes the entry once its lease is granted, and claims vacant groups.
-    void start(const node_entry& own);
+    /// Writes the entry once its lease is granted, and claims vacant groups. At the first start of
+    /// the whole fleet the claims wait until the nodes know each other.
+    void start(const node_entry& own, bool is_first_start);
     /// Writes the entry and the departed lifetimes of the upstream if either has changed.
     void publish(const node_entry& own, const std::string& departures);
     /// Releases the groups and publishes an entry without a service, so that no new work arrives.
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -174,7 +174,8 @@
     /// Decides on a reservation while the upstream is on probation: offers a slot for the next
     /// trial or declines.
     void reserve_on_probation(const run_pointer& entry);
-    void decline_waiting(decline_reason reason);
+    /// Ends all reservations, also those that were offered a slot.
+    void decline_reserved(decline_reason reason);
     /// Ends the reservations and offers for another service than the present upstream's.
     void drop_reservations_of_other_services();
     bool is_service_rejecting() const;
--- a/src/mesh/upstream_runner_reservations.cpp
+++ b/src/mesh/upstream_runner_reservations.cpp
@@ -107,11 +107,12 @@
     this->offer(entry);
 }
 
-void upstream_runner::decline_waiting(decline_reason reason)
+void upstream_runner::decline_reserved(decline_reason reason)
 {
     for (const auto& [key, entry] : std::map{this->runs}) {
-        if (entry->state == stage::waiting) {
+        if (entry->state == stage::waiting || entry->state == stage::offered) {
             this->queue.remove(entry->ticket, boot_clock::now());
+            this->withdraw_offer(entry);
             this->decline(entry, reason);
         }
     }
--- a/src/mesh/upstream_runner_runs.cpp
+++ b/src/mesh/upstream_runner_runs.cpp
@@ -70,7 +70,8 @@
             .add("upstream", this->reports.current() ? this->reports.current()->id : "")
             .add("request", entry->request_id)
             .add("waiting", this->queue.size());
-        this->decline_waiting(decline_reason::on_probation);
+        // An offer that was made before says that the upstream is sound.
+        this->decline_reserved(decline_reason::on_probation);
     }
 }
 
--- a/test/error/test_replaced_upstream.cpp
+++ b/test/error/test_upstream_reservations.cpp
@@ -1,4 +1,5 @@
 #include "mesh/upstream_runner.hpp"
+#include "test/support/scripted_upstream.hpp"
 
 #include <vector>
 
@@ -17,13 +18,14 @@
         this->runner.on_change([] {});
     }
 
-    void start_upstream(const std::string& id, const std::string& service)
+    void start_upstream(const std::string& id, const std::string& service, std::uint32_t slots = 1,
+                        const std::string& address = "127.0.0.1:1")
     {
         upstream_check_in report;
         report.id = id;
-        report.address = "127.0.0.1:1";
+        report.address = address;
         report.service = service_name{service};
-        report.slots = 1;
+        report.slots = slots;
         report.sequence = 1;
         report.started_at = ++this->born;
         this->runner.apply_check_in(report);
@@ -49,12 +51,11 @@
         return count;
     }
 
-    bool is_declined(run_id id) const
+    bool is_declined(run_id id, decline_reason reason = decline_reason::no_upstream) const
     {
         for (const link_message& reply : this->replies) {
             const auto* declined = std::get_if<reservation_declined_message>(&reply);
-            if (declined != nullptr && declined->id == id &&
-                declined->reason == decline_reason::no_upstream) {
+            if (declined != nullptr && declined->id == id && declined->reason == reason) {
                 return true;
             }
         }
@@ -121,3 +122,35 @@
     beside.runner.receive(node_id{"caller"}, release_reservation_message{1}, beside.collect);
     CHECK(beside.offers(2) == 1);
 }
+
+// Guards against unsafe requests that use an offer made before the upstream began to fail: several
+// nodes held offers of the same upstream and their requests failed within milliseconds of each
+// other.
+TEST_CASE("the offers of an upstream that begins to fail are withdrawn")
+{
+    runner_beside_upstream beside;
+    scripted_upstream failing{beside.loop, [](std::size_t, const http_request& request) {
+                                  return scripted_reply{
+                                      signed_response(500, attempt_id(request), "failed")};
+                              }};
+    beside.start_upstream("first", "books", 2, failing.address());
+    beside.reserve(1);
+    beside.reserve(2);
+    REQUIRE(beside.offers(2) == 1);
+    run_message request;
+    request.id = 1;
+    request.time_left = 1s;
+    request.head.method = "GET";
+    request.head.target = "/";
+    beside.runner.receive(node_id{"caller"}, request, beside.collect);
+    const time_point end = boot_clock::now() + 2s;
+    while (boot_clock::now() < end && beside.runner.busy_slot_count() > 0) {
+        beside.loop.run_one_for(10ms);
+    }
+    CHECK(beside.is_declined(2, decline_reason::on_probation));
+    request.id = 2;
+    beside.runner.receive(node_id{"caller"}, request, beside.collect);
+    const auto* failed = std::get_if<failed_message>(&beside.replies.back());
+    REQUIRE(failed != nullptr);
+    CHECK(failed->kind == run_failure::not_run);
+}
