--- a/src/mesh/event_loop_http_server.cpp
+++ b/src/mesh/event_loop_http_server.cpp
@@ -91,8 +91,7 @@
     log_line{"connection_closed_for_room"}
         .add("remote", (*found)->state().remote_ip)
         .add("connections", this->connections.size());
-    const auto closing = *found;
-    closing->close();
+    (*found)->close();
     return true;
 }
 
