Admit by bytes at the upstream, and charge the heads of pipelined requests

Cause: an upstream crashes when the requests that it holds exceed its memory, and slots bound their number only. Sixteen pipelined requests with heads of the legal size took up 256 KB of a connection that was charged 24 KB.

Change: a reservation states the size of the request's body; the node beside the upstream declines it when the bodies over 64 KiB that are offered a slot or running there would exceed a quarter of the machine's memory_mb. One alone always has room. The sender asks another VM. The head of a request behind others on its connection is reserved from the budget.

--- a/src/mesh/dispatched_request.cpp
+++ b/src/mesh/dispatched_request.cpp
@@ -222,6 +222,7 @@
     message.start_within = this->start_within();
     message.failure_cost = this->failure_cost();
     message.expected_run = this->expected_run();
+    message.body_bytes = this->accepted.request.body.size();
     for (const node_id& vm : chosen) {
         this->reservations[vm] = {};
     }
--- a/src/mesh/http_codec.cpp
+++ b/src/mesh/http_codec.cpp
@@ -108,6 +108,16 @@
     return this->state->parser.is_header_done();
 }
 
+std::size_t request_decoder::head_size() const
+{
+    const auto& message = this->state->parser.get();
+    std::size_t size = message.target().size();
+    for (const auto& field : message) {
+        size += field.name_string().size() + field.value().size();
+    }
+    return size;
+}
+
 std::size_t request_decoder::body_size() const
 {
     return this->state->parser.get().body().size();
--- a/src/mesh/http_codec.hpp
+++ b/src/mesh/http_codec.hpp
@@ -54,6 +54,9 @@
     /// Whether the head is complete.
     bool has_head() const;
 
+    /// Bytes of the target and the header fields, once the head is complete.
+    std::size_t head_size() const;
+
     /// Bytes of the body that have been decoded so far.
     std::size_t body_size() const;
 
--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -169,6 +169,7 @@
         archive(message.accepts_probation);
         archive(message.start_within);
         archive(message.failure_cost), archive(message.expected_run);
+        archive(message.body_bytes);
     }
     else if constexpr (std::is_same_v<type, reservation_accepted_message>) {
         archive(message.id), archive(message.is_offer), archive(message.cost);
--- a/src/mesh/link_message.hpp
+++ b/src/mesh/link_message.hpp
@@ -51,6 +51,8 @@
     std::chrono::milliseconds failure_cost{0};
     /// Mean run time of such requests over the whole service, as measured by the sender.
     std::chrono::milliseconds expected_run{0};
+    /// Size of the request's body, which the upstream will hold.
+    std::uint64_t body_bytes = 0;
 };
 
 /// Cancels a reservation; no request was sent to the upstream for it.
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -526,6 +526,9 @@
     metrics& counters = this->requests.counters;
     counters.add_metric_callback("memory_reserved_bytes", "gauge",
                                  [this] { return static_cast<double>(this->memory->reserved()); });
+    counters.add_metric_callback("upstream_body_bytes", "gauge", [this] {
+        return static_cast<double>(this->runner.held_body_bytes());
+    });
     counters.add_metric_callback("memory_budget_bytes", "gauge",
                                  [this] { return static_cast<double>(this->memory->capacity()); });
     counters.add_metric_callback("memory_refusals_total", "counter",
--- a/src/mesh/server_connection.cpp
+++ b/src/mesh/server_connection.cpp
@@ -121,7 +121,11 @@
            this->pipeline.size() < max_pipelined_requests) {
         decode_state state = this->decoder.decode(this->buffer);
         const bool is_sound = state == decode_state::incomplete || state == decode_state::complete;
-        if (is_sound && !this->reserve_body()) {
+        memory_reservation head{this->server.handlers.bounds.memory};
+        const bool is_behind = state == decode_state::complete && !this->pipeline.empty();
+        const bool has_head_memory =
+            !is_behind || head.resize(this->decoder.head_size(), memory_use::small_body);
+        if (is_sound && (!has_head_memory || !this->reserve_body())) {
             state = decode_state::memory_short;
         }
         if (state == decode_state::incomplete) {
@@ -136,7 +140,7 @@
             this->reject(state);
             break;
         }
-        this->add_request(this->decoder.take(std::move(this->body_reservation)));
+        this->add_request(this->decoder.take(std::move(this->body_reservation)), std::move(head));
         const caller_limits limits = this->server.handlers.limits();
         this->decoder = request_decoder{limits.header_bytes, limits.body_bytes};
         this->body_reservation = memory_reservation{this->server.handlers.bounds.memory};
@@ -148,11 +152,12 @@
     this->arm_timer();
 }
 
-void server_connection::add_request(http_request request)
+void server_connection::add_request(http_request request, memory_reservation head_reservation)
 {
     auto entry = std::make_shared<pipelined_request>();
     this->accepts_requests = request.keeps_connection;
     entry->request = std::move(request);
+    entry->head_reservation = std::move(head_reservation);
     entry->arrived = boot_clock::now();
     this->pipeline.push_back(std::move(entry));
     ++this->server.unanswered;
--- a/src/mesh/server_connection.hpp
+++ b/src/mesh/server_connection.hpp
@@ -43,6 +43,9 @@
         time_point arrived{};
         std::shared_ptr<served_request> served;
         std::optional<http_response> answer;
+        /// For the head of a request behind others; the connection's own covers that of one
+        /// request.
+        memory_reservation head_reservation;
         bool is_started = false;
     };
     using request_pointer = std::shared_ptr<pipelined_request>;
@@ -50,7 +53,7 @@
     void read();
     void on_read(std::size_t size);
     void decode();
-    void add_request(http_request request);
+    void add_request(http_request request, memory_reservation head_reservation);
     void start_requests();
     void start_request(const request_pointer& entry);
     void set_response(const request_pointer& entry, http_response answer);
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -33,7 +33,8 @@
       pool(loop, memory_bytes / response_memory_divisor, memory_bytes / receiving_memory_divisor),
       service_retry_bound(bound),
       upstream_retries(bound, boot_clock::now()),
-      upstream_count(std::move(count))
+      upstream_count(std::move(count)),
+      bodies(memory_bytes)
 {
 }
 
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -7,6 +7,7 @@
 #include "dispatch/memory_budget.hpp"
 #include "dispatch/probation.hpp"
 #include "dispatch/upstream_health.hpp"
+#include "dispatch/upstream_memory.hpp"
 #include "dispatch/upstream_retry_budget.hpp"
 #include "dispatch/work_queue.hpp"
 #include "mesh/http_client_pool.hpp"
@@ -94,6 +95,7 @@
 
     /// Slots that are offered or in use by runs.
     std::size_t busy_slot_count() const { return this->slots_in_use; }
+    std::size_t held_body_bytes() const { return this->bodies.held_bytes(); }
     std::size_t queued_count() const { return this->queue.size(); }
     std::uint64_t connections_opened() const { return this->pool.connections_opened(); }
     std::uint64_t foreign_responses() const { return this->pool.foreign_responses(); }
@@ -190,6 +192,8 @@
     std::map<queue_ticket, run_pointer> tickets;
     std::map<node_id, peer> peers;
     std::shared_ptr<memory_budget> memory;
+    /// Bodies that are offered a slot or with the upstream.
+    upstream_memory bodies;
     std::function<void()> upstream_changed;
     std::function<void(const upstream_crash&)> crash_found;
     queue_ticket last_ticket = 0;
--- a/src/mesh/upstream_runner_reservations.cpp
+++ b/src/mesh/upstream_runner_reservations.cpp
@@ -47,6 +47,11 @@
                                  message.id, decline_reason::retry_budget_exhausted, wait});
         return;
     }
+    if (!this->bodies.has_room(message.body_bytes)) {
+        this->reply_to(from, reservation_declined_message{message.id, decline_reason::overloaded,
+                                                          std::max(wait, this->typical_run)});
+        return;
+    }
     const auto entry = std::make_shared<run>();
     entry->key = {from, message.id};
     entry->ticket = ++this->last_ticket;
@@ -112,6 +117,7 @@
     entry->offered_until = now + offer_lifetime;
     this->upstream_retries.hold(entry->reservation.retry_share);
     ++this->slots_in_use;
+    this->bodies.hold(entry->reservation.body_bytes);
     this->reply_to(entry->key.first, reservation_accepted_message{entry->key.second, true, cost});
     this->arm_timer();
 }
@@ -127,6 +133,7 @@
     if (entry->state == stage::offered) {
         this->upstream_retries.release(entry->reservation.retry_share);
         --this->slots_in_use;
+        this->bodies.release(entry->reservation.body_bytes);
         if (entry->is_trial) {
             this->failing.end_trial();
         }
@@ -152,6 +159,10 @@
             this->decline(entry, decline_reason::retry_budget_exhausted);
             continue;
         }
+        if (!this->bodies.has_room(entry->reservation.body_bytes)) {
+            this->decline(entry, decline_reason::overloaded);
+            continue;
+        }
         this->offer(entry);
     }
 }
--- a/src/mesh/upstream_runner_runs.cpp
+++ b/src/mesh/upstream_runner_runs.cpp
@@ -126,6 +126,7 @@
     const bool is_refused = result.end == client_exchange_outcome::not_sent;
     const time_point now = boot_clock::now();
     --this->slots_in_use;
+    this->bodies.release(entry->reservation.body_bytes);
     entry->connection.reset();
     entry->state = stage::done;
     if (is_refused) {
--- a/test/clients/test_uncontrolled_clients.cpp
+++ b/test/clients/test_uncontrolled_clients.cpp
@@ -46,7 +46,7 @@
                          "X-Attempt-Id: hostile\r\nX-Deadline-Ms: 60000\r\n";
 
 /// `piece` repeated up to about the size that the clients send in all.
-client_script endless(std::string start, std::string piece)
+client_script endless(std::string start, const std::string& piece)
 {
     std::string block;
     while (block.size() < piece_bytes) {
