--- a/src/core/reasons.hpp
+++ b/src/core/reasons.hpp
@@ -34,6 +34,7 @@
     claim_unavailable,
     node_stopping,
     data_centres_evacuated,
+    memory_short,
     count
 };
 
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -34,6 +34,7 @@
       service_retry_bound(bound),
       upstream_retries(bound, boot_clock::now()),
       upstream_count(std::move(count)),
+      bodies(memory_bytes),
       pacing(boot_clock::now())
 {
 }
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -5,8 +5,10 @@
 #include "dispatch/check_in_tracker.hpp"
 #include "dispatch/cold_admission.hpp"
 #include "dispatch/crash_guard.hpp"
+#include "dispatch/memory_budget.hpp"
 #include "dispatch/probation.hpp"
 #include "dispatch/upstream_health.hpp"
+#include "dispatch/upstream_memory.hpp"
 #include "dispatch/upstream_retry_budget.hpp"
 #include "dispatch/work_queue.hpp"
 #include "mesh/http_client_pool.hpp"
@@ -81,6 +83,8 @@
     std::uint64_t evacuation_declines() const { return this->declined_by_evacuation; }
     /// Reservations that found a free slot and had to wait for the limit on a cold upstream.
     std::uint64_t cold_limit_waits() const { return this->waits_for_cold_limit; }
+    /// Sets the budget from which the responses of the upstream are reserved until they are sent.
+    void set_memory(std::shared_ptr<memory_budget> budget) { this->memory = std::move(budget); }
 
     /// The upstream if it accepts new work, otherwise nothing.
     std::optional<local_upstream> available_upstream() const;
@@ -124,6 +128,7 @@
 
     /// Slots that are offered or in use by runs.
     std::size_t busy_slot_count() const { return this->slots_in_use; }
+    std::size_t held_body_bytes() const { return this->bodies.held_bytes(); }
     std::size_t queued_count() const { return this->queue.size(); }
     std::size_t slot_count() const
     {
@@ -190,6 +195,9 @@
     client_exchange_request build_exchange(const run_pointer& entry,
                                            const run_message& message) const;
     void on_exchange_end(const run_pointer& entry, client_exchange_result result);
+    /// Reserves memory for a response. When there is none, outcomes that were reported on an open
+    /// link are forgotten.
+    bool reserve_response(memory_reservation& reservation, std::size_t size);
     link_message classify_result(const run_pointer& entry, client_exchange_result result);
     void record_outcome(const run_pointer& entry, const link_message& outcome, bool may_be_stale);
     /// Keeps account of runs that end in a crash of the upstream.
@@ -233,6 +241,9 @@
     std::map<queue_ticket, run_pointer> tickets;
     std::map<node_id, peer> peers;
     std::function<bool(const service_name&)> is_rejecting_widely;
+    std::shared_ptr<memory_budget> memory;
+    /// Bodies that are offered a slot or with the upstream.
+    upstream_memory bodies;
     std::function<void()> upstream_changed;
     std::function<void(const upstream_crash&)> crash_found;
     queue_ticket last_ticket = 0;
--- a/src/mesh/upstream_runner_reservations.cpp
+++ b/src/mesh/upstream_runner_reservations.cpp
@@ -53,6 +53,12 @@
                                                           wait, this->load_report(now)});
         return;
     }
+    if (!this->bodies.has_room(message.body_bytes)) {
+        this->reply_to(from, reservation_declined_message{message.id, decline_reason::overloaded,
+                                                          std::max(wait, this->typical_run),
+                                                          this->load_report(now)});
+        return;
+    }
     const auto entry = std::make_shared<run>();
     entry->key = {from, message.id};
     entry->ticket = ++this->last_ticket;
@@ -140,6 +146,7 @@
     entry->offered_until = now + offer_lifetime;
     this->upstream_retries.hold(entry->reservation.retry_share);
     ++this->slots_in_use;
+    this->bodies.hold(entry->reservation.body_bytes);
     ++this->slots_offered;
     this->reply_to(entry->key.first, reservation_accepted_message{entry->key.second, true, cost,
                                                                   this->load_report(now)});
@@ -173,6 +180,7 @@
         this->upstream_retries.release(entry->reservation.retry_share);
         --this->slots_in_use;
         --this->slots_offered;
+        this->bodies.release(entry->reservation.body_bytes);
         if (entry->is_trial) {
             this->failing.end_trial();
         }
@@ -197,6 +205,10 @@
             this->decline(entry, decline_reason::retry_budget_exhausted);
             continue;
         }
+        if (!this->bodies.has_room(entry->reservation.body_bytes)) {
+            this->decline(entry, decline_reason::overloaded);
+            continue;
+        }
         this->offer(entry);
     }
 }
