Read the start of the lifetime that deregisters

Cause: a deregistration that was the first word to a new process of the node was kept without a start, so a late check-in of that lifetime was accepted; a late one of an earlier lifetime removed a later one of the same id.

--- a/src/dispatch/check_in_tracker.cpp
+++ b/src/dispatch/check_in_tracker.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/check_in_tracker.hpp"
 
+#include <algorithm>
+
 namespace dragonflyroad {
 
 check_in_verdict check_in_tracker::apply(const upstream_check_in& report, time_point now)
@@ -30,14 +32,18 @@
     return is_start ? check_in_verdict::started : check_in_verdict::accepted;
 }
 
-bool check_in_tracker::record_deregistration(const std::string& id)
+bool check_in_tracker::record_deregistration(const std::string& id,
+                                             std::optional<std::int64_t> stated_start)
 {
-    const bool is_current = this->latest && this->latest->id == id;
-    // A lifetime other than the current one is recorded as well. Its start is unknown, so it is
-    // recorded as 0: a restarted upstream may keep the id, and its reports, which state a later
-    // start, must be accepted.
-    const std::int64_t started_at = is_current ? this->latest->started_at : 0;
-    this->departed.add(id, started_at);
+    // The call may be late: a restarted upstream may keep the id, and an earlier start that is
+    // stated shows that the call is not of the current lifetime.
+    const bool is_current =
+        this->latest && this->latest->id == id &&
+        stated_start.value_or(this->latest->started_at) >= this->latest->started_at;
+    // A lifetime other than the current one is recorded as well. A start that is not stated is
+    // recorded as 0: reports of a restarted upstream, which state a later start, must be accepted.
+    const std::int64_t known_start = is_current ? this->latest->started_at : 0;
+    this->departed.add(id, std::max(known_start, stated_start.value_or(0)));
     if (is_current) {
         this->latest.reset();
     }
--- a/src/dispatch/check_in_tracker.hpp
+++ b/src/dispatch/check_in_tracker.hpp
@@ -59,9 +59,10 @@
 public:
     check_in_verdict apply(const upstream_check_in& report, time_point now);
 
-    /// Records that the lifetime with this id has deregistered. False when it is not the current
-    /// one.
-    bool record_deregistration(const std::string& id);
+    /// Records that the lifetime with this id, and this start if the call states one, has
+    /// deregistered. False when it is not the current one.
+    bool record_deregistration(const std::string& id,
+                               std::optional<std::int64_t> stated_start = std::nullopt);
 
     /// Discards the current lifetime after another process was found at its address.
     void discard_current() { this->latest.reset(); }
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -83,16 +83,8 @@
         return this->runner.retry_share_of_call(call_id);
     };
     this->runner.set_readiness([this] { return this->view.has_read_store(); });
-    this->runner.set_cold_limit([this](const service_name& service) {
-        const auto table = this->view.configuration();
-        cold_limit limit = this->options.cold_tolerance;
-        if (table != nullptr) {
-            const cold_rule rule = table->cold_rule_of(service);
-            limit.requests_per_second = rule.requests_per_second;
-            limit.cold_time = rule.cold_time;
-        }
-        return limit;
-    });
+    this->runner.set_cold_limit(
+        [this](const service_name& service) { return this->cold_limit_of(service); });
     this->runner.on_change([this] { this->publish(); });
     this->runner.on_crash([this](const upstream_crash& crash) {
         this->requests.crashes.add(crash, boot_clock::now());
@@ -285,6 +277,17 @@
     return own;
 }
 
+cold_limit mesh_node::cold_limit_of(const service_name& service) const
+{
+    cold_limit limit = this->options.cold_tolerance;
+    if (const auto table = this->view.configuration()) {
+        const cold_rule rule = table->cold_rule_of(service);
+        limit.requests_per_second = rule.requests_per_second;
+        limit.cold_time = rule.cold_time;
+    }
+    return limit;
+}
+
 void mesh_node::apply(const mesh_settings& changed)
 {
     this->options.quota = changed.quota;
--- a/src/mesh/mesh_node.hpp
+++ b/src/mesh/mesh_node.hpp
@@ -74,7 +74,11 @@
     {
         return this->runner.apply_check_in(report);
     }
-    bool deregister_upstream(const std::string& id) { return this->runner.deregister_upstream(id); }
+    bool deregister_upstream(const std::string& id,
+                             std::optional<std::int64_t> stated_start = std::nullopt)
+    {
+        return this->runner.deregister_upstream(id, stated_start);
+    }
 
     /// Applies the settings that may change while the node runs: the tolerances of quotas and
     /// repeats, the greatest proof age and the duration of a stop. The others need a restart.
@@ -97,6 +101,7 @@
     fleet_view::callbacks view_callbacks(fleet_view::decode_function decode);
     node_registration::callbacks registration_callbacks();
     node_entry own_entry() const;
+    cold_limit cold_limit_of(const service_name& service) const;
     /// A random reachable node other than the holder and this node.
     std::optional<node_id> choose_reachable_relay(const node_id& holder);
     peer_listener::callbacks peer_callbacks();
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -67,9 +67,10 @@
     return verdict;
 }
 
-bool upstream_runner::deregister_upstream(const std::string& id)
+bool upstream_runner::deregister_upstream(const std::string& id,
+                                          std::optional<std::int64_t> stated_start)
 {
-    const bool was_current = this->reports.record_deregistration(id);
+    const bool was_current = this->reports.record_deregistration(id, stated_start);
     this->upstream_changed();
     this->tick();
     return was_current;
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -43,8 +43,9 @@
 
     /// Applies a check-in report of the upstream. The caller logs the verdict.
     check_in_verdict apply_check_in(const upstream_check_in& report);
-    /// Deregisters the upstream with this id. False when it is not the current one.
-    bool deregister_upstream(const std::string& id);
+    /// Deregisters the upstream with this id, and this start if the call states one. False when it
+    /// is not the current one.
+    bool deregister_upstream(const std::string& id, std::optional<std::int64_t> stated_start);
     /// Sets the function that is called after each accepted report and when the upstream has
     /// deregistered or another process has taken its address.
     void on_change(std::function<void()> function) { this->upstream_changed = std::move(function); }
--- a/test/correctness/test_dispatch.cpp
+++ b/test/correctness/test_dispatch.cpp
@@ -47,6 +47,20 @@
     CHECK_FALSE(reports.current().has_value());
 }
 
+// Guards against a late report of a lifetime whose deregistration was the first word to this
+// process, and against a late deregistration that removes a later lifetime of the same id.
+TEST_CASE("a deregistration that states its start concerns that lifetime only")
+{
+    check_in_tracker reports;
+    CHECK_FALSE(reports.record_deregistration("first", 1000));
+    CHECK(reports.apply(make_report(5, 1000), start) == check_in_verdict::outdated);
+    CHECK(reports.apply(make_report(1, 2000), start) == check_in_verdict::started);
+    CHECK_FALSE(reports.record_deregistration("first", 1000));
+    REQUIRE(reports.current().has_value());
+    CHECK(reports.record_deregistration("first", 2000));
+    CHECK_FALSE(reports.current().has_value());
+}
+
 // Guards against ignoring a restarted upstream, which keeps its id and numbers its reports from one
 // again, and against a report of an earlier run that replaces one of a later run.
 TEST_CASE("the report with the later start time wins at any sequence number")
