--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -195,11 +195,11 @@
     void send_to_upstream(const run_pointer& entry, const run_message& message);
     client_exchange_request build_exchange(const run_pointer& entry,
                                            const run_message& message) const;
-    void on_exchange_end(const run_pointer& entry, client_exchange_result result);
+    void on_exchange_end(const run_pointer& entry, const client_exchange_result& result);
     /// Reserves memory for a response. When there is none, outcomes that were reported on an open
     /// link are forgotten.
     bool reserve_response(memory_reservation& reservation, std::size_t size);
-    link_message classify_result(const run_pointer& entry, client_exchange_result result);
+    link_message classify_result(const run_pointer& entry, const client_exchange_result& result);
     void record_outcome(const run_pointer& entry, const link_message& outcome, bool may_be_stale);
     /// Keeps account of runs that end in a crash of the upstream.
     void watch_for_crash(const run_pointer& entry, const client_exchange_result& result);
--- a/src/mesh/upstream_runner_runs.cpp
+++ b/src/mesh/upstream_runner_runs.cpp
@@ -121,8 +121,8 @@
         .add("time_left_ms", message.time_left.count());
     client_exchange_request exchange = this->build_exchange(entry, message);
     entry->connection =
-        this->pool.start(std::move(exchange), [this, entry](client_exchange_result result) {
-            this->on_exchange_end(entry, std::move(result));
+        this->pool.start(std::move(exchange), [this, entry](const client_exchange_result& result) {
+            this->on_exchange_end(entry, result);
         });
     this->arm_timer();
 }
@@ -142,7 +142,8 @@
     return exchange;
 }
 
-void upstream_runner::on_exchange_end(const run_pointer& entry, client_exchange_result result)
+void upstream_runner::on_exchange_end(const run_pointer& entry,
+                                      const client_exchange_result& result)
 {
     const bool is_refused = result.end == client_exchange_outcome::not_sent;
     const time_point now = boot_clock::now();
@@ -157,7 +158,7 @@
     const std::string detail = result.detail;
     // A connection that the upstream had dropped while it was idle is no evidence of a fault.
     const bool may_be_stale = result.was_stale;
-    link_message outcome = this->classify_result(entry, std::move(result));
+    link_message outcome = this->classify_result(entry, result);
     if (!entry->is_cancelled) {
         this->record_outcome(entry, outcome, may_be_stale);
     }
@@ -199,7 +200,7 @@
 }
 
 link_message upstream_runner::classify_result(const run_pointer& entry,
-                                              client_exchange_result result)
+                                              const client_exchange_result& result)
 {
     const run_id id = entry->key.second;
     if (result.end == client_exchange_outcome::not_sent) {
@@ -208,7 +209,7 @@
     if (result.end != client_exchange_outcome::answered) {
         return failed_message{id, run_failure::unknown, result.detail};
     }
-    http_response& response = result.response;
+    const http_response& response = result.response;
     if (response.status == 421 || find_header(response.headers, this->names.not_run)) {
         this->handle_misdirected_request(result);
         return failed_message{id, run_failure::refused,
