Send a well-formed request in the test of withdrawn offers

The fixture had no header names, so its request was malformed and the upstream never answered. Failed with the withdrawal taken out, passes with it.

--- a/test/error/test_upstream_reservations.cpp
+++ b/test/error/test_upstream_reservations.cpp
@@ -1,4 +1,5 @@
 #include "mesh/upstream_runner.hpp"
+#include "platform/node_settings.hpp"
 #include "test/support/scripted_upstream.hpp"
 
 #include <vector>
@@ -63,7 +64,7 @@
     }
 
     boost::asio::io_context loop;
-    header_names names;
+    header_names names = platform::platform_header_names();
     crash_guard guard;
     std::vector<link_message> replies;
     upstream_runner::reply_function collect = [this](const link_message& reply) {
@@ -142,6 +143,7 @@
     request.time_left = 1s;
     request.head.method = "GET";
     request.head.target = "/";
+    request.head.headers = {{"Host", "books.example"}, {"X-Attempt-Id", "first"}};
     beside.runner.receive(node_id{"caller"}, request, beside.collect);
     const time_point end = boot_clock::now() + 2s;
     while (boot_clock::now() < end && beside.runner.busy_slot_count() > 0) {
