Hold no late start beyond half of the caller's time, and use the whole bound of cold upstreams

Change: a late start is refused after half of the caller's time. The limit on warm upstreams stays, since an upstream may become cold unnoticed (test_cold_admission fails without it), but uses the whole bound, with a margin of 50 ms.

--- a/src/dispatch/cold_admission.cpp
+++ b/src/dispatch/cold_admission.cpp
@@ -10,10 +10,7 @@
 /// The bound is over one second. Requests are counted when they are handed to a connection; the
 /// margin covers the time until a new connection is open and the bytes are on their way.
 constexpr std::chrono::milliseconds bound_window{1'000};
-constexpr std::chrono::milliseconds window_margin{100};
-
-/// Part of the bound that is used while the upstream is not known to be cold.
-constexpr double used_bound_share = 0.9;
+constexpr std::chrono::milliseconds window_margin{50};
 
 /// An upstream whose warm capacity is this many times the bound is limited only while it is known
 /// or assumed to be cold: a permanent limit would cost more than two thirds of its capacity.
@@ -45,9 +42,7 @@
     if (this->is_cold(now)) {
         return whole_requests(this->limit.requests_per_second);
     }
-    const double bound =
-        (this->limit.requests_per_second * this->limit.overage + this->limit.slack) *
-        used_bound_share;
+    const double bound = this->limit.requests_per_second * this->limit.overage + this->limit.slack;
     return warm_capacity > bound * max_capacity_ratio ? unlimited : whole_requests(bound);
 }
 
--- a/src/mesh/dispatched_request_end.cpp
+++ b/src/mesh/dispatched_request_end.cpp
@@ -73,13 +73,19 @@
         std::max(this->expected_run() * 3 / 2, this->accepted.route.latency_objective / 2);
     const milliseconds until_deadline =
         milliseconds_between(now, this->accepted.deadline) - reserved;
-    // A caller that is refused after twice its objective has time to return.
+    if (this->runs_started > 0) {
+        return std::max(until_deadline, milliseconds{1});
+    }
+    // A caller that is refused after twice its objective, and before half of its time has passed,
+    // has time to return.
     const milliseconds until_twice_objective =
         milliseconds_between(now,
                              this->accepted.arrived + 2 * this->accepted.route.latency_objective) -
         this->expected_run();
-    return std::max(this->runs_started > 0 ? until_deadline
-                                           : std::min(until_deadline, until_twice_objective),
+    const milliseconds until_half_time = milliseconds_between(
+        now,
+        this->accepted.arrived + (this->accepted.caller_deadline - this->accepted.arrived) / 2);
+    return std::max(std::min({until_deadline, until_twice_objective, until_half_time}),
                     milliseconds{1});
 }
 
--- a/test/support/request_probe.cpp
+++ b/test/support/request_probe.cpp
@@ -60,6 +60,7 @@
     accepted.needs_quota = has_quota;
     accepted.arrived = boot_clock::now();
     accepted.deadline = accepted.arrived + 5s;
+    accepted.caller_deadline = accepted.deadline;
     this->request = std::make_shared<dispatched_request>(
         this->shared, this->quota, std::move(accepted),
         [this](http_response given) { this->answer = std::move(given); });
