--- a/src/mesh/dispatched_request_end.cpp
+++ b/src/mesh/dispatched_request_end.cpp
@@ -14,6 +14,11 @@
 /// Retry-After of a request that is refused because this node stops: another VM takes it at once.
 constexpr milliseconds stop_retry_after{100};
 
+/// A new request may start after its objective only if its caller waits this many times the
+/// objective. With less, a caller that is refused late has no time to return, and the slots that
+/// late requests take make others late.
+constexpr int min_late_objectives = 4;
+
 } // namespace
 
 void dispatched_request::fail_round(refusal_reason reason, ran executed, const std::string& detail)
@@ -76,6 +81,10 @@
     if (this->runs_started > 0) {
         return std::max(until_deadline, milliseconds{1});
     }
+    const auto callers_time = this->accepted.caller_deadline - this->accepted.arrived;
+    if (callers_time < min_late_objectives * this->accepted.route.latency_objective) {
+        return this->start_within();
+    }
     // A caller that is refused after twice its objective, and before half of its time has passed,
     // has time to return.
     const milliseconds until_twice_objective =
--- a/test/correctness/test_dispatched_request.cpp
+++ b/test/correctness/test_dispatched_request.cpp
@@ -221,7 +221,17 @@
 TEST_CASE("a reservation names the last start for a late answer beside that for one on time")
 {
     request_probe probe{2};
-    probe.start("POST", false);
+    probe.start("POST", false, 8s);
     const auto terms = probe.last_terms(probe.receivers<reserve_message>().front());
     CHECK(terms.start_within < terms.late_start_within);
 }
+
+// Guards against late starts for callers that have no time to return when they are refused: these
+// were held for three quarters of their time.
+TEST_CASE("a caller with little time gets no late start")
+{
+    request_probe probe{2};
+    probe.start("POST", false, 5s);
+    const auto terms = probe.last_terms(probe.receivers<reserve_message>().front());
+    CHECK(terms.late_start_within <= terms.start_within);
+}
--- a/test/support/request_probe.cpp
+++ b/test/support/request_probe.cpp
@@ -46,7 +46,8 @@
     }
 }
 
-void request_probe::start(const std::string& method, bool has_quota)
+void request_probe::start(const std::string& method, bool has_quota,
+                          std::chrono::milliseconds callers_time)
 {
     admitted_request accepted;
     accepted.id = "request-1";
@@ -59,7 +60,7 @@
     accepted.organisation = organisation_id{"council"};
     accepted.needs_quota = has_quota;
     accepted.arrived = boot_clock::now();
-    accepted.deadline = accepted.arrived + 5s;
+    accepted.deadline = accepted.arrived + callers_time;
     accepted.caller_deadline = accepted.deadline;
     this->request = std::make_shared<dispatched_request>(
         this->shared, this->quota, std::move(accepted),
--- a/test/support/request_probe.hpp
+++ b/test/support/request_probe.hpp
@@ -23,7 +23,9 @@
     explicit request_probe(std::size_t vms);
 
     /// Starts a request. GET may be repeated; any other method runs at most once.
-    void start(const std::string& method, bool has_quota);
+    /// The latency objective is 2 s.
+    void start(const std::string& method, bool has_quota,
+               std::chrono::milliseconds callers_time = std::chrono::seconds{5});
     void admit();
 
     void offer(const dragonflyroad::node_id& vm, std::chrono::milliseconds cost,
