--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Builds the programs of the cases in review/6 to review/10, with the stand-ins that they contain,
+# into build-review-2/. Needs the packages of deploy/system.toml only.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+out=build-review-2
+mkdir -p "$out"
+flags=(-std=c++20 -O1 -Wall -Wextra -Werror -I. -pthread)
+compile() {
+    g++ "${flags[@]}" -c "$1" -o "$out/$(tr / - <<<"${1%.cpp}").o"
+}
+for source in review/harness-2/*.cpp; do
+    compile "$source" &
+done
+for source in review/{6,7,8,9,10}/case.cpp; do
+    if [[ -e $source ]]; then
+        compile "$source" &
+    fi
+done
+for job in $(jobs -p); do
+    wait "$job"
+done
+for source in review/{6,7,8,9,10}/case.cpp; do
+    if [[ -e $source ]]; then
+        number=$(basename "$(dirname "$source")")
+        g++ "${flags[@]}" "$out/review-$number-case.o" "$out"/review-harness-2-*.o \
+            -o "$out/case-$number"
+    fi
+done
