Review: a target whose clock went back keeps its work while it drains

Cause: a check-in that states an earlier start than the known one is dropped as a late one, and acknowledged, also when it is of a new lifetime under the same id.

--- a/review/harness-2/net.cpp
+++ b/review/harness-2/net.cpp
@@ -17,6 +17,9 @@
 namespace review2 {
 namespace {
 
+/// How often a listener looks whether it is to end.
+constexpr int accept_poll_ms = 20;
+
 sockaddr_in to_address(const endpoint& place)
 {
     sockaddr_in address{};
@@ -211,7 +214,8 @@
     return std::make_shared<connection>(fd);
 }
 
-void serve(const endpoint& place, std::function<void(connection&)> handler)
+std::shared_ptr<std::atomic<bool>> serve(const endpoint& place,
+                                         std::function<void(connection&)> handler)
 {
     const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
@@ -219,8 +223,13 @@
     if (!bind_to(listener, place) || listen(listener, 128) != 0) {
         std::_Exit(2);
     }
-    std::thread{[listener, handler = std::move(handler)] {
-        while (true) {
+    auto is_ended = std::make_shared<std::atomic<bool>>(false);
+    std::thread{[listener, is_ended, handler = std::move(handler)] {
+        while (!*is_ended) {
+            pollfd waiting{listener, POLLIN, 0};
+            if (poll(&waiting, 1, accept_poll_ms) <= 0) {
+                continue;
+            }
             const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0) {
                 continue;
@@ -232,7 +241,9 @@
                 handler(peer);
             }}.detach();
         }
+        close(listener);
     }}.detach();
+    return is_ended;
 }
 
 std::string encode_request(const std::string& method, const std::string& target,
--- a/review/harness-2/net.hpp
+++ b/review/harness-2/net.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -71,8 +72,10 @@
 /// Opens a connection; null when it is refused or not accepted within a second.
 std::shared_ptr<connection> dial(const endpoint& place);
 
-/// Calls the handler on a thread of its own for each connection.
-void serve(const endpoint& place, std::function<void(connection&)> handler);
+/// Calls the handler on a thread of its own for each connection. Setting the flag that is returned
+/// to true ends the listening.
+std::shared_ptr<std::atomic<bool>> serve(const endpoint& place,
+                                         std::function<void(connection&)> handler);
 
 std::string encode_request(const std::string& method, const std::string& target,
                            const std::vector<std::pair<std::string, std::string>>& headers,
--- a/review/harness-2/target.cpp
+++ b/review/harness-2/target.cpp
@@ -11,6 +11,13 @@
 
 constexpr milliseconds heartbeat{1'500};
 
+std::int64_t unix_time()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 } // namespace
 
 target::target(record& log, std::string service_name, std::string instance, plan_function function)
@@ -28,10 +35,8 @@
     this->node = control;
     this->zone_name = zone;
     this->slots = slot_count;
-    this->born = std::chrono::duration_cast<milliseconds>(
-                     std::chrono::system_clock::now().time_since_epoch())
-                     .count();
-    serve(place, [this](connection& peer) { this->handle(peer); });
+    this->born = unix_time();
+    this->listening_ended = serve(place, [this](connection& peer) { this->handle(peer); });
     std::thread{[this] {
         while (true) {
             if (!this->is_silent) {
@@ -46,14 +51,14 @@
 {
     const nlohmann::json body{
         {"address", this->address.text()},
-        {"born", this->born},
+        {"born", this->born.load()},
         {"info",
          {{"service", this->name},
           {"version", "v1"},
           {"zone", this->zone_name},
           {"slots", this->slots}}},
         {"status",
-         {{"state", this->status}, {"sequence", ++this->sequence}, {"cold_remaining", "0ms"}}}};
+         {{"state", this->state_name}, {"sequence", ++this->sequence}, {"cold_remaining", "0ms"}}}};
     const auto reply =
         exchange(this->node,
                  encode_request("POST", "/instances/" + this->id + "/heartbeat",
@@ -63,6 +68,36 @@
     return reply && reply->status() == 200;
 }
 
+void target::go_down()
+{
+    this->journal.add("target", this->id + " goes down");
+    this->is_silent = true;
+    ++this->starts;
+    *this->listening_ended = true;
+}
+
+void target::come_up(milliseconds clock_offset)
+{
+    this->born = unix_time() + clock_offset.count();
+    this->sequence = 0;
+    this->journal.add("target", this->id + " starts again, born " + std::to_string(this->born));
+    this->listening_ended = serve(this->address, [this](connection& peer) { this->handle(peer); });
+    this->is_silent = false;
+    this->check_in();
+}
+
+bool target::deregister()
+{
+    const nlohmann::json body{{"born", this->born.load()}};
+    const auto reply =
+        exchange(this->node,
+                 encode_request("POST", "/instances/" + this->id + "/deregister",
+                                {{"Host", this->node.text()}, {"Content-Type", "application/json"}},
+                                body.dump()),
+                 milliseconds{1'000});
+    return reply && reply->status() == 200;
+}
+
 std::vector<target_run> target::runs()
 {
     const std::scoped_lock lock{this->mutex};
@@ -77,8 +112,9 @@
 
 void target::handle(connection& peer)
 {
+    const int start = this->starts;
     while (const auto request = peer.receive(steady::now() + std::chrono::seconds{30})) {
-        if (!this->answer(peer, *request)) {
+        if (start != this->starts || !this->answer(peer, *request)) {
             return;
         }
     }
--- a/review/harness-2/target.hpp
+++ b/review/harness-2/target.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -44,8 +45,15 @@
     std::size_t count_runs(const std::string& request_id);
     /// Sends a check-in now. False when the node did not acknowledge it.
     bool check_in();
-    void set_state(const std::string& state) { this->status = state; }
+    void set_state(const std::string& state) { this->state_name = state; }
     void stop_check_ins() { this->is_silent = true; }
+    /// The process of the target ends; its connections close when they are used next.
+    void go_down();
+    /// The target starts again under the id that it had, and checks in. `clock_offset` is how far
+    /// the time of day of its machine is ahead.
+    void come_up(milliseconds clock_offset);
+    /// Tells the node that the target leaves. False when the node did not acknowledge it.
+    bool deregister();
 
 private:
     void handle(connection& peer);
@@ -59,10 +67,12 @@
     endpoint node;
     std::string zone_name;
     std::uint32_t slots = 3;
-    std::int64_t born = 0;
+    std::atomic<std::int64_t> born = 0;
+    std::atomic<int> starts = 0;
+    std::shared_ptr<std::atomic<bool>> listening_ended;
     std::atomic<std::int64_t> sequence = 0;
     std::atomic<bool> is_silent = false;
-    std::string status = "ready";
+    std::string state_name = "ready";
     std::mutex mutex;
     std::vector<target_run> started;
 };
