--- a/review/harness-2/store.cpp
+++ b/review/harness-2/store.cpp
@@ -133,31 +133,6 @@
     this->loss = std::move(function);
 }
 
-void store::compact(milliseconds deaf_time)
-{
-    this->journal.add("store", "watches hear nothing");
-    {
-        const std::scoped_lock lock{this->mutex};
-        this->is_deaf = true;
-        this->heard_revision = this->revision;
-    }
-    std::this_thread::sleep_for(deaf_time);
-    const std::scoped_lock lock{this->mutex};
-    this->is_deaf = false;
-    this->first_kept = this->revision;
-    this->changed.notify_all();
-    this->journal.add("store", "drops its history and cuts the watches");
-}
-
-void store::fall_silent(milliseconds time)
-{
-    this->journal.add("store", "answers nothing");
-    this->is_silent = true;
-    std::this_thread::sleep_for(time);
-    this->is_silent = false;
-    this->journal.add("store", "answers again");
-}
-
 void store::handle(connection& peer)
 {
     while (const auto request = peer.receive(steady::now() + std::chrono::minutes{5})) {
@@ -176,15 +151,7 @@
             peer.closes_within(std::chrono::minutes{1});
             return;
         }
-        if (this->is_silent) {
-            peer.closes_within(std::chrono::minutes{1});
-            return;
-        }
         const answer done = this->dispatch(*request);
-        if (this->is_silent || done.is_cut) {
-            peer.closes_within(done.is_cut ? milliseconds{0} : std::chrono::minutes{1});
-            return;
-        }
         if (!peer.send(encode_response(done.status, {{"Content-Type", "application/json"}},
                                        done.body.dump()))) {
             return;
@@ -252,23 +219,18 @@
     const std::uint64_t after = number(query.at("after"));
     const auto until = steady::now() + milliseconds{number(query.at("wait_ms"))};
     std::unique_lock lock{this->mutex};
-    if (after < this->first_kept) {
-        return {410, json::object(), false};
-    }
     json rows = json::array();
-    const auto is_over = [&] {
+    const auto collect = [&] {
         for (const event& change : this->events) {
-            if (!this->is_deaf && change.revision > after &&
+            if (change.revision > after &&
                 change.row.at("key").get<std::string>().starts_with(prefix)) {
                 rows.push_back(change.row);
             }
         }
-        return !rows.empty() || after < this->first_kept;
+        return !rows.empty();
     };
-    this->changed.wait_until(lock, until, is_over);
-    const bool is_cut = after < this->first_kept;
-    const std::uint64_t known = this->is_deaf ? this->heard_revision : this->revision;
-    return {200, {{"events", rows}, {"current_rev", known}}, is_cut};
+    this->changed.wait_until(lock, until, collect);
+    return {200, {{"events", rows}, {"current_rev", this->revision}}};
 }
 
 store::answer store::commit(const json& write)
--- a/review/harness-2/store.hpp
+++ b/review/harness-2/store.hpp
@@ -2,7 +2,6 @@
 
 #include "record.hpp"
 
-#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -32,10 +31,6 @@
     /// The keys with this prefix.
     std::vector<std::string> keys(const std::string& prefix);
     void lose_writes(loss_function function);
-    /// Watches hear nothing for this time; then the history is dropped and they are cut.
-    void compact(milliseconds deaf_time);
-    /// No call is answered for this time.
-    void fall_silent(milliseconds time);
 
 private:
     struct item {
@@ -55,8 +50,6 @@
     struct answer {
         int status = 200;
         nlohmann::json body = nlohmann::json::object();
-        /// The connection is closed instead.
-        bool is_cut = false;
     };
 
     void handle(connection& peer);
@@ -82,11 +75,6 @@
     std::uint64_t revision = 10;
     std::uint64_t last_lease = 100;
     loss_function loss;
-    bool is_deaf = false;
-    /// What the watches know of while they are deaf, and the oldest revision that they may name.
-    std::uint64_t heard_revision = 0;
-    std::uint64_t first_kept = 0;
-    std::atomic<bool> is_silent = false;
 };
 
 } // namespace review2
