--- a/review/harness-2/fleet.cpp
+++ b/review/harness-2/fleet.cpp
@@ -72,7 +72,8 @@
          << "[listen]\ninbound = " << quoted(this->inbound.text())
          << "outbound = " << quoted(this->outbound.text())
          << "ready = " << quoted(this->ready.text()) << "control = " << quoted(this->control.text())
-         << "[limits]\ncpu_share = 0.2\ncores = 1\nmemory_mb = 260\nmax_fds = 4100\n"
+         << "[limits]\ncpu_share = 0.2\ncores = 1\nmemory_mb = " << (memory_limit_bytes >> 20U)
+         << "\nmax_fds = 4100\n"
          << "[platform]\naddress = " << quoted(store.text()) << "form = \"kv\"\n";
 }
 
@@ -135,6 +136,15 @@
     return reply && reply->status() == 200;
 }
 
+std::size_t node::resident_bytes() const
+{
+    std::ifstream status{"/proc/" + std::to_string(this->process) + "/statm"};
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    status >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 fleet::fleet(const std::string& record_path)
     : journal(record_path), shared(this->journal), store_address(free_endpoint("127.0.0.1"))
 {
--- a/review/harness-2/fleet.hpp
+++ b/review/harness-2/fleet.hpp
@@ -3,6 +3,7 @@
 #include "store.hpp"
 #include "target.hpp"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -11,6 +12,9 @@
 
 namespace review2 {
 
+/// The memory that the settings of a node allow, `memory_mb`.
+constexpr std::size_t memory_limit_bytes = std::size_t{260} << 20U;
+
 /// A node of the fleet as a process of its own, started with the command of the deploy file.
 class node {
 public:
@@ -32,6 +36,8 @@
     /// Whether the process has ended by itself.
     bool has_ended();
     bool is_ready() const;
+    /// Memory of the process in bytes, 0 when it does not run.
+    std::size_t resident_bytes() const;
 
     std::string name;
     std::string service;
