--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,18 +12,15 @@
 for source in review/harness-2/*.cpp; do
     compile "$source" &
 done
-for source in review/{6,7,8,9,10}/case.cpp; do
-    if [[ -e $source ]]; then
-        compile "$source" &
-    fi
+for source in review/{6,7,8,9,10}/*.cpp; do
+    compile "$source" &
 done
 for job in $(jobs -p); do
     wait "$job"
 done
-for source in review/{6,7,8,9,10}/case.cpp; do
-    if [[ -e $source ]]; then
-        number=$(basename "$(dirname "$source")")
-        g++ "${flags[@]}" "$out/review-$number-case.o" "$out"/review-harness-2-*.o \
-            -o "$out/case-$number"
-    fi
+for source in review/{6,7,8,9,10}/*.cpp; do
+    name=case-$(basename "$(dirname "$source")")
+    [[ $source == */case.cpp ]] || name+=-$(basename "$source" .cpp)
+    g++ "${flags[@]}" "$out/$(tr / - <<<"${source%.cpp}").o" "$out"/review-harness-2-*.o \
+        -o "$out/$name"
 done
