Key runs by the process of the node that started them

Cause: callers got another caller's answer, or an unsafe request ran at two upstreams, after the process of their node was killed and started again. A node numbers its runs from 1 in each process, and the node beside the upstream found them by node name and number. The outcome of a former process's unsafe run was sent over the link of the present process, which took it for the outcome of its own run with that number. A late hello of a former process also made it forget open runs of the present one, which were then reported as not handed over.

Change: the key of a run holds the node's incarnation, and messages about a run go only to that process.

--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -1,5 +1,6 @@
 #include "mesh/upstream_runner.hpp"
 
+#include "adapters/log.hpp"
 #include "mesh/run_retention.hpp"
 
 #include <algorithm>
@@ -102,13 +103,13 @@
         this->reserve(from, *reservation);
     }
     else if (const auto* released = std::get_if<release_reservation_message>(&message)) {
-        this->release({from, released->id});
+        this->release(this->key_of(from, released->id));
     }
     else if (const auto* run_request = std::get_if<run_message>(&message)) {
         this->start_run(from, *run_request);
     }
     else if (const auto* cancelled = std::get_if<cancel_message>(&message)) {
-        this->cancel({from, cancelled->id});
+        this->cancel(this->key_of(from, cancelled->id));
     }
 }
 
@@ -116,25 +117,26 @@
                                      reply_function reply)
 {
     peer& state = this->peers[from];
-    if (state.peer_incarnation != 0 && state.peer_incarnation != hello.node_incarnation) {
-        this->discard_runs(from);
-    }
+    const incarnation before = std::exchange(state.peer_incarnation, hello.node_incarnation);
     state.reply = std::move(reply);
-    state.peer_incarnation = hello.node_incarnation;
     state.detached_at = {};
+    if (before != 0 && before != hello.node_incarnation) {
+        this->cancel_runs_of_other_processes(from);
+    }
     for (const run_id id : hello.open_runs) {
-        const auto found = this->runs.find({from, id});
+        const run_key key = this->key_of(from, id);
+        const auto found = this->runs.find(key);
         const bool has_begun =
             found != this->runs.end() &&
             (found->second->state == stage::running || found->second->state == stage::done);
         if (!has_begun) {
-            this->reply_to(from, failed_message{id, run_failure::not_run, "not handed over"});
+            this->reply_to(key, failed_message{id, run_failure::not_run, "not handed over"});
         }
         else if (found->second->outcome) {
-            found->second->is_reported = this->reply_to(from, *found->second->outcome);
+            found->second->is_reported = this->reply_to(key, *found->second->outcome);
         }
         else if (found->second->state == stage::done) {
-            this->reply_to(from, failed_message{id, run_failure::unknown, "outcome not kept"});
+            this->reply_to(key, failed_message{id, run_failure::unknown, "outcome not kept"});
         }
     }
 }
@@ -148,19 +150,29 @@
     this->arm_timer();
 }
 
-void upstream_runner::discard_runs(const node_id& from)
+void upstream_runner::cancel_runs_of_other_processes(const node_id& from)
 {
     this->drop_reservations(from);
-    std::erase_if(this->runs, [&](const auto& item) {
-        return item.first.first == from && item.second->state == stage::done;
-    });
+    std::size_t running = 0;
     for (const auto& [key, entry] : std::map{this->runs}) {
-        // The callers were connected to the earlier incarnation of the node and are gone.
-        if (key.first == from) {
+        if (key.node == from && !this->is_of_present_process(key) &&
+            entry->state == stage::running) {
             this->cancel(key);
-            this->runs.erase(key);
+            ++running;
         }
     }
+    log_line{"peer_process_replaced"}.add("peer", from.value).add("running", running);
+}
+
+upstream_runner::run_key upstream_runner::key_of(const node_id& node, run_id id) const
+{
+    const auto found = this->peers.find(node);
+    return {node, found == this->peers.end() ? 0 : found->second.peer_incarnation, id};
+}
+
+bool upstream_runner::is_of_present_process(const run_key& key) const
+{
+    return key.node_incarnation == this->key_of(key.node, key.id).node_incarnation;
 }
 
 void upstream_runner::begin_stop()
@@ -173,7 +185,7 @@
 {
     return std::ranges::any_of(this->runs, [&](const auto& item) {
         const run& entry = *item.second;
-        return entry.outcome && !entry.is_reported &&
+        return entry.outcome && !entry.is_reported && this->is_of_present_process(entry.key) &&
                now < entry.forget_at - run_retention + outcome_retention;
     });
 }
@@ -182,9 +194,8 @@
 {
     for (const auto& [key, entry] : this->runs) {
         if (entry->state == stage::running) {
-            this->reply_to(key.first,
-                           failed_message{key.second, run_failure::unknown,
-                                          "the node beside the upstream ends before the run"});
+            this->reply_to(key, failed_message{key.id, run_failure::unknown,
+                                               "the node beside the upstream ends before the run"});
         }
     }
 }
@@ -207,10 +218,10 @@
     return open == 0 ? 0 : retries / static_cast<double>(open);
 }
 
-bool upstream_runner::reply_to(const node_id& node, const link_message& message)
+bool upstream_runner::reply_to(const run_key& key, const link_message& message)
 {
-    const auto found = this->peers.find(node);
-    if (found == this->peers.end() || !found->second.reply) {
+    const auto found = this->peers.find(key.node);
+    if (found == this->peers.end() || !found->second.reply || !this->is_of_present_process(key)) {
         return false;
     }
     found->second.reply(message);
@@ -229,7 +240,7 @@
     }
     const bool takes = this->accepts_work(now);
     for (const auto& [key, entry] : std::map{this->runs}) {
-        const auto& from = this->peers[key.first];
+        const auto& from = this->peers[key.node];
         const bool is_detached =
             from.detached_at != time_point{} && now > from.detached_at + detached_run_limit;
         if (entry->state == stage::offered && now > entry->offered_until) {
@@ -239,7 +250,7 @@
             this->release(key);
             const auto reason =
                 this->is_stopping ? decline_reason::stopping : decline_reason::no_upstream;
-            this->reply_to(key.first, reservation_declined_message{key.second, reason, {}});
+            this->reply_to(key, reservation_declined_message{key.id, reason, {}});
         }
         else if (entry->state == stage::running && is_detached) {
             this->cancel(key);
--- a/src/mesh/upstream_runner.hpp
+++ b/src/mesh/upstream_runner.hpp
@@ -15,12 +15,12 @@
 #include "mesh/link_message.hpp"
 #include "mesh/request_headers.hpp"
 
+#include <compare>
 #include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -142,7 +142,15 @@
 
 private:
     enum class stage { waiting, offered, running, done };
-    using run_key = std::pair<node_id, run_id>;
+
+    /// Identifies a run. A restarted node numbers its runs from the beginning, so the id alone
+    /// could be that of a run of its earlier process.
+    struct run_key {
+        node_id node;
+        incarnation node_incarnation = 0;
+        run_id id = 0;
+        auto operator<=>(const run_key&) const = default;
+    };
 
     struct run {
         run_key key;
@@ -207,8 +215,13 @@
     void check_for_crash();
     void report_crash(const local_upstream& ended);
     void handle_misdirected_request(const client_exchange_result& result);
-    /// False when there is no link to the node.
-    bool reply_to(const node_id& node, const link_message& message);
+    /// The key of a run of the node's present process.
+    run_key key_of(const node_id& node, run_id id) const;
+    /// Whether the process of the node that started the run is the one that opened the latest link.
+    bool is_of_present_process(const run_key& key) const;
+    /// Sends a message about a run to the process of the node that started it. False when there is
+    /// no link to that process.
+    bool reply_to(const run_key& key, const link_message& message);
     upstream_load_report load_report(time_point now) const;
     std::chrono::milliseconds reservation_cost(const reserve_message& reservation,
                                                time_point now) const;
@@ -224,7 +237,8 @@
     void tick();
     void arm_timer();
     void drop_reservations(const node_id& from);
-    void discard_runs(const node_id& from);
+    /// Cancels what other processes of the node have started, since their callers are gone.
+    void cancel_runs_of_other_processes(const node_id& from);
 
     boost::asio::steady_timer timer;
     boost::asio::steady_timer crash_timer;
--- a/src/mesh/upstream_runner_reservations.cpp
+++ b/src/mesh/upstream_runner_reservations.cpp
@@ -20,7 +20,7 @@
     const time_point now = boot_clock::now();
     std::erase_if(this->runs, [&](const auto& item) {
         const run_pointer& entry = item.second;
-        if (item.first.first != from ||
+        if (item.first.node != from ||
             (entry->state != stage::waiting && entry->state != stage::offered)) {
             return false;
         }
@@ -35,6 +35,7 @@
 void upstream_runner::reserve(const node_id& from, const reserve_message& message)
 {
     const time_point now = boot_clock::now();
+    const run_key key = this->key_of(from, message.id);
     const auto& current = this->reports.current();
     const queued_request work{this->last_ticket + 1, message.organisation,
                               message.rank,          now + message.start_within,
@@ -44,23 +45,23 @@
         const auto reason =
             this->is_stopping ? decline_reason::stopping : decline_reason::no_upstream;
         this->declined_by_evacuation += this->is_evacuated ? 1 : 0;
-        this->reply_to(from, reservation_declined_message{message.id, reason, wait});
+        this->reply_to(key, reservation_declined_message{message.id, reason, wait});
         return;
     }
     if (!this->has_retry_room(message, now)) {
-        this->reply_to(from, reservation_declined_message{message.id,
-                                                          decline_reason::retry_budget_exhausted,
-                                                          wait, this->load_report(now)});
+        this->reply_to(key, reservation_declined_message{message.id,
+                                                         decline_reason::retry_budget_exhausted,
+                                                         wait, this->load_report(now)});
         return;
     }
     if (!this->bodies.has_room(message.body_bytes)) {
-        this->reply_to(from, reservation_declined_message{message.id, decline_reason::overloaded,
-                                                          std::max(wait, this->typical_run),
-                                                          this->load_report(now)});
+        this->reply_to(key, reservation_declined_message{message.id, decline_reason::overloaded,
+                                                         std::max(wait, this->typical_run),
+                                                         this->load_report(now)});
         return;
     }
     const auto entry = std::make_shared<run>();
-    entry->key = {from, message.id};
+    entry->key = key;
     entry->ticket = ++this->last_ticket;
     entry->reservation = message;
     if (this->failing.is_active() && this->is_service_rejecting()) {
@@ -82,17 +83,17 @@
     const auto expected = cold_wait < longest_wait ? this->queue.push(work, now) : std::nullopt;
     this->waits_for_cold_limit += expected && this->has_free_slot() ? 1 : 0;
     if (!expected) {
-        this->reply_to(from, reservation_declined_message{message.id, decline_reason::overloaded,
-                                                          std::max(wait, cold_wait),
-                                                          this->load_report(now)});
+        this->reply_to(key, reservation_declined_message{message.id, decline_reason::overloaded,
+                                                         std::max(wait, cold_wait),
+                                                         this->load_report(now)});
         return;
     }
     this->runs[entry->key] = entry;
     this->tickets[entry->ticket] = entry;
-    this->reply_to(from, reservation_accepted_message{message.id, false,
-                                                      std::max(expected->wait, cold_wait) +
-                                                          this->reservation_cost(message, now),
-                                                      this->load_report(now)});
+    this->reply_to(key, reservation_accepted_message{message.id, false,
+                                                     std::max(expected->wait, cold_wait) +
+                                                         this->reservation_cost(message, now),
+                                                     this->load_report(now)});
     this->arm_timer();
 }
 
@@ -100,8 +101,8 @@
 {
     const time_point now = boot_clock::now();
     if (!this->failing.admits(entry->reservation.is_repeatable, now) || !this->may_offer(now)) {
-        this->reply_to(entry->key.first,
-                       reservation_declined_message{entry->key.second, decline_reason::on_probation,
+        this->reply_to(entry->key,
+                       reservation_declined_message{entry->key.id, decline_reason::on_probation,
                                                     this->failing.time_to_next_trial(now),
                                                     this->load_report(now)});
         return;
@@ -148,8 +149,8 @@
     ++this->slots_in_use;
     this->bodies.hold(entry->reservation.body_bytes);
     ++this->slots_offered;
-    this->reply_to(entry->key.first, reservation_accepted_message{entry->key.second, true, cost,
-                                                                  this->load_report(now)});
+    this->reply_to(entry->key,
+                   reservation_accepted_message{entry->key.id, true, cost, this->load_report(now)});
     this->arm_timer();
 }
 
@@ -217,9 +218,9 @@
 {
     this->tickets.erase(entry->ticket);
     this->runs.erase(entry->key);
-    this->reply_to(entry->key.first,
+    this->reply_to(entry->key,
                    reservation_declined_message{
-                       entry->key.second, reason, {}, this->load_report(boot_clock::now())});
+                       entry->key.id, reason, {}, this->load_report(boot_clock::now())});
 }
 
 bool upstream_runner::has_retry_room(const reserve_message& reservation, time_point now)
--- a/src/mesh/upstream_runner_runs.cpp
+++ b/src/mesh/upstream_runner_runs.cpp
@@ -77,12 +77,13 @@
 
 void upstream_runner::start_run(const node_id& from, const run_message& message)
 {
-    const auto found = this->runs.find({from, message.id});
+    const run_key key = this->key_of(from, message.id);
+    const auto found = this->runs.find(key);
     if (found == this->runs.end() || found->second->state != stage::offered) {
         const bool has_begun = found != this->runs.end() && found->second->state != stage::waiting;
         if (!has_begun) {
             this->reply_to(
-                from, failed_message{message.id, run_failure::not_run, "the offer has lapsed"});
+                key, failed_message{message.id, run_failure::not_run, "the offer has lapsed"});
         }
         return;
     }
@@ -91,7 +92,7 @@
     if (!this->reports.current()) {
         this->withdraw_offer(entry);
         this->runs.erase(found);
-        this->reply_to(from,
+        this->reply_to(key,
                        failed_message{message.id, run_failure::not_run, "the upstream has left"});
         return;
     }
@@ -114,7 +115,7 @@
     }
     log_line{"run_start"}
         .add("request", entry->request_id)
-        .add("from", entry->key.first.value)
+        .add("from", entry->key.node.value)
         .add("upstream", this->reports.current()->id)
         .add("in_use", this->slots_in_use)
         .add("waiting", this->queue.size())
@@ -176,7 +177,7 @@
     entry->forget_at = now + run_retention;
     if (!entry->is_cancelled) {
         set_load(outcome, this->load_report(now));
-        entry->is_reported = this->reply_to(entry->key.first, outcome);
+        entry->is_reported = this->reply_to(entry->key, outcome);
         // The outcome may be sent again on a new link, when the report is outdated.
         set_load(outcome, {});
         entry->outcome = std::move(outcome);
@@ -202,7 +203,7 @@
 link_message upstream_runner::classify_result(const run_pointer& entry,
                                               const client_exchange_result& result)
 {
-    const run_id id = entry->key.second;
+    const run_id id = entry->key.id;
     if (result.end == client_exchange_outcome::not_sent) {
         return failed_message{id, run_failure::not_run, "connect: " + result.detail};
     }
--- a/test/error/test_upstream_reservations.cpp
+++ b/test/error/test_upstream_reservations.cpp
@@ -1,82 +1,11 @@
-#include "mesh/upstream_runner.hpp"
-#include "platform/node_settings.hpp"
+#include "test/support/runner_beside_upstream.hpp"
 #include "test/support/scripted_upstream.hpp"
 
-#include <vector>
-
-#include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
 using namespace dragonflyroad;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// The node beside an upstream, without a network: replies to reservations are collected.
-struct runner_beside_upstream {
-    runner_beside_upstream()
-    {
-        this->runner.on_change([] {});
-    }
-
-    void start_upstream(const std::string& id, const std::string& service, std::uint32_t slots = 1,
-                        const std::string& address = "127.0.0.1:1")
-    {
-        upstream_check_in report;
-        report.id = id;
-        report.address = address;
-        report.service = service_name{service};
-        report.slots = slots;
-        report.sequence = 1;
-        report.started_at = ++this->born;
-        this->runner.apply_check_in(report);
-    }
-
-    void reserve(run_id id)
-    {
-        reserve_message message;
-        message.id = id;
-        message.service = service_name{"books"};
-        message.start_within = 60s;
-        message.expected_run = 100ms;
-        this->runner.receive(node_id{"caller"}, message, this->collect);
-    }
-
-    std::size_t offers(run_id id) const
-    {
-        std::size_t count = 0;
-        for (const link_message& reply : this->replies) {
-            const auto* accepted = std::get_if<reservation_accepted_message>(&reply);
-            count += accepted != nullptr && accepted->id == id && accepted->is_offer ? 1U : 0U;
-        }
-        return count;
-    }
-
-    bool is_declined(run_id id, decline_reason reason = decline_reason::no_upstream) const
-    {
-        for (const link_message& reply : this->replies) {
-            const auto* declined = std::get_if<reservation_declined_message>(&reply);
-            if (declined != nullptr && declined->id == id && declined->reason == reason) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    boost::asio::io_context loop;
-    header_names names = platform::platform_header_names();
-    crash_guard guard;
-    std::vector<link_message> replies;
-    upstream_runner::reply_function collect = [this](const link_message& reply) {
-        this->replies.push_back(reply);
-    };
-    upstream_runner runner{loop, names, {}, 64U << 20U, [](const service_name&) { return 1U; },
-                           guard};
-    std::int64_t born = 0;
-};
-
-} // namespace
-
 // Guards against a reservation that waits while the upstream beside the node is replaced by one of
 // another service: it was offered a slot there, and the request ran at the wrong service.
 TEST_CASE("a reservation does not outlive the replacement of its upstream by another service")
