--- a/src/dispatch/departed_lifetimes.cpp
+++ b/src/dispatch/departed_lifetimes.cpp
@@ -43,7 +43,12 @@
 
 std::string departed_lifetimes::to_text() const
 {
-    return this->starts.empty() ? std::string{} : nlohmann::json(this->starts).dump();
+    // Replaces bytes that are no UTF-8 instead of throwing: one odd id must not keep the others
+    // from being recorded.
+    return this->starts.empty()
+               ? std::string{}
+               : nlohmann::json(this->starts)
+                     .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 departed_lifetimes departed_lifetimes::from_text(const std::string& text)
--- a/test/error/test_odd_entries.cpp
+++ b/test/error/test_odd_entries.cpp
@@ -1,7 +1,10 @@
 #include "platform/check_in.hpp"
 #include "test/support/mesh_fleet.hpp"
+#include "test/support/test_ports.hpp"
 
+#include <optional>
 #include <string>
+#include <utility>
 
 #include <doctest/doctest.h>
 
@@ -47,6 +50,54 @@
     CHECK(fleet.exchange(1, "GET").response.status == 401);
 }
 
+// Guards against a node that ends because the id in the path of a check-in cannot be written as
+// JSON text, together with all that it has passed on.
+TEST_CASE("a call about an upstream whose id is no plain text is refused and changes nothing")
+{
+    mesh_fleet fleet{1};
+    event_loop_http_server check_ins{
+        fleet.context,
+        platform::check_in_callbacks(*fleet.vms[0].node, fleet.vms[0].upstream_address)};
+    const std::string address = "127.0.0.1:" + std::to_string(first_test_port() + 90);
+    REQUIRE(check_ins.listen(address));
+    http_client_pool pool{fleet.context, 1U << 20U, 1U << 20U};
+    pool.set_address(address);
+    const std::string report =
+        R"({"address":")" + fleet.vms[0].upstream_address +
+        R"(","born":2000,"info":{"service":"books","slots":2},"status":{"state":"draining",)"
+        R"("sequence":1}})";
+    const auto status_of = [&](const std::string& id, const std::string& action) {
+        std::optional<client_exchange_result> result;
+        client_exchange_request call;
+        call.method = "POST";
+        call.bytes =
+            encode_request({"POST", "/instances/" + id + "/" + action, {{"Host", "node"}}}, report);
+        call.deadline = boot_clock::now() + 2s;
+        pool.start(std::move(call), [&](client_exchange_result end) { result = std::move(end); });
+        fleet.run_until([&] { return result.has_value(); });
+        return result ? result->response.status : 0;
+    };
+    for (const std::string& id : {std::string{"i-\xff"}, std::string{"i-\xc3\x28"},
+                                  std::string{"i-\xed\xa0\x80"}, std::string(300, 'i')}) {
+        CAPTURE(id.size());
+        CHECK(status_of(id, "heartbeat") == 400);
+        CHECK(status_of(id, "deregister") == 400);
+    }
+    CHECK(fleet.exchange(0, "POST").response.status == 200);
+    CHECK(status_of("i-7f3a91c2", "deregister") == 200);
+}
+
+// Guards against the same end of the process by another way: ids of lifetimes that left are written
+// to the store as JSON text.
+TEST_CASE("departed lifetimes can be written whatever bytes their ids hold")
+{
+    departed_lifetimes departed;
+    departed.add("i-\xff", 5);
+    departed.add("i-1", 7);
+    const auto restored = departed_lifetimes::from_text(departed.to_text());
+    CHECK(restored.contains("i-1", 7));
+}
+
 // Guards against check-ins whose numbers wrap around or are undefined when they are converted: a
 // sequence that is too large would make every later check-in outdated.
 TEST_CASE("a check-in with an odd field is refused")
