Keep the timer of a request armed until it is answered

Cause: repeatable requests at two frozen machines were never answered. While a run is lost, the request looks for another VM. When none replied within 600 ms, the check ended the round and returned without arming the timer; since the run counted as open, the request was not answered either. Its deadline, its lost run and the link were never looked at again.

Change: the checks of the round and of the runs are functions of their own, and the timer is armed in one place after them.

--- a/src/mesh/dispatched_request.hpp
+++ b/src/mesh/dispatched_request.hpp
@@ -114,7 +114,13 @@
     /// Arranges that the VMs whose upstream is on probation are asked again: after a pause if there
     /// is time, otherwise at once and to run the request in any case. False when there are none.
     bool ask_upstreams_on_probation();
+    /// Checks the deadline, the round and the runs. The timer is armed again as long as the request
+    /// is not answered.
     void on_tick();
+    /// Ends a round to which no VM replies, or asks more VMs.
+    void check_round();
+    /// Looks for another VM for a run that is lost or takes too long.
+    void check_runs();
     /// Refuses the request if it was not handed over and could not end before this node stops.
     bool refuse_if_too_late_to_start();
     /// Refuses the request if such requests have crashed upstreams.
--- a/src/mesh/dispatched_request_runs.cpp
+++ b/src/mesh/dispatched_request_runs.cpp
@@ -217,25 +217,42 @@
 
 void dispatched_request::on_tick()
 {
-    const time_point now = boot_clock::now();
-    if (now >= this->accepted.deadline) {
+    if (boot_clock::now() >= this->accepted.deadline) {
         this->end_early(refusal_reason::deadline_exceeded, refusal_reason::queue_timeout);
         return;
     }
     if (this->refuse_if_too_late_to_start()) {
         return;
     }
-    if (this->round != 0) {
-        if (now > this->last_reply_at + no_reply_timeout && this->received_replies().empty()) {
-            this->fail_round(refusal_reason::no_healthy_upstream, ran::no,
-                             "no VM of the service replies");
-            return;
-        }
-        if (now >= this->next_reserve_at && !this->holds_good_offer()) {
-            this->reserve_more(additional_reservations);
-        }
-        this->evaluate_replies();
+    this->check_round();
+    this->check_runs();
+    // Whatever the checks have decided, the deadline of an unanswered request is still to be
+    // checked.
+    if (!this->is_done) {
+        this->arm_tick();
+    }
+}
+
+void dispatched_request::check_round()
+{
+    if (this->round == 0) {
+        return;
     }
+    const time_point now = boot_clock::now();
+    if (now > this->last_reply_at + no_reply_timeout && this->received_replies().empty()) {
+        this->fail_round(refusal_reason::no_healthy_upstream, ran::no,
+                         "no VM of the service replies");
+        return;
+    }
+    if (now >= this->next_reserve_at && !this->holds_good_offer()) {
+        this->reserve_more(additional_reservations);
+    }
+    this->evaluate_replies();
+}
+
+void dispatched_request::check_runs()
+{
+    const time_point now = boot_clock::now();
     for (const auto& [id, run] : std::map{this->runs}) {
         const bool is_lost = run.link_lost_at != time_point{};
         if (is_lost && now > run.link_lost_at + outcome_retention) {
@@ -253,9 +270,6 @@
             this->begin_round();
         }
     }
-    if (!this->is_done) {
-        this->arm_tick();
-    }
 }
 
 } // namespace dragonflyroad
--- a/test/correctness/test_dispatched_request.cpp
+++ b/test/correctness/test_dispatched_request.cpp
@@ -235,3 +235,39 @@
     const auto terms = probe.last_terms(probe.receivers<reserve_message>().front());
     CHECK(terms.late_start_within <= terms.start_within);
 }
+
+// Guards against a request that is never answered: while its run was lost and no other VM replied,
+// the request stopped checking its deadline.
+TEST_CASE("a repeatable request is answered at its deadline when no VM replies to it any more")
+{
+    request_probe probe{4};
+    probe.start("GET", false, 1500ms);
+    const auto first = probe.receivers<reserve_message>().front();
+    probe.offer(first, 0ms);
+    REQUIRE(probe.pass_until([&] { return !probe.receivers<run_message>().empty(); }));
+    probe.lose_link(first);
+    CHECK(probe.pass_until([&] { return probe.answer.has_value(); }));
+    REQUIRE(probe.answer.has_value());
+    CHECK(probe.answer->status == 504);
+}
+
+// Guards against a lost run whose outcome is not asked for again once a search for another VM has
+// failed: the run's VM may be back.
+TEST_CASE("a request that finds no other VM for its lost run goes on asking the VM of that run")
+{
+    request_probe probe{4};
+    probe.start("GET", false);
+    const auto first = probe.receivers<reserve_message>().front();
+    probe.offer(first, 0ms);
+    REQUIRE(probe.pass_until([&] { return !probe.receivers<run_message>().empty(); }));
+    probe.lose_link(first);
+    const auto rounds_failed = [&] { return probe.reconnects(first) > 0; };
+    REQUIRE(probe.pass_until(rounds_failed));
+    probe.pass(1'300ms);
+    const std::size_t after_search = probe.reconnects(first);
+    probe.pass(500ms);
+    CHECK(probe.reconnects(first) > after_search);
+    probe.answer_run(first);
+    REQUIRE(probe.answer.has_value());
+    CHECK(probe.answer->status == 200);
+}
--- a/test/support/request_probe.cpp
+++ b/test/support/request_probe.cpp
@@ -1,5 +1,6 @@
 #include "request_probe.hpp"
 
+#include <algorithm>
 #include <variant>
 
 using namespace dragonflyroad;
@@ -34,7 +35,7 @@
     this->shared.set_sender([this](const node_id& to, const link_message& message) {
         this->sent.emplace_back(to, message);
     });
-    this->shared.reconnect = [](const node_id&) {};
+    this->shared.reconnect = [this](const node_id& vm) { this->reconnected.push_back(vm); };
     this->shared.on_nested_call_failed = [] {};
     for (std::size_t index = 0; index < vms; ++index) {
         node_entry entry;
@@ -115,6 +116,30 @@
     this->shared.receive(vm, failed);
 }
 
+void request_probe::answer_run(const node_id& vm)
+{
+    for (const auto& [node, message] : std::vector{this->sent}) {
+        const auto* run = std::get_if<run_message>(&message);
+        if (node == vm && run != nullptr) {
+            response_message response;
+            response.id = run->id;
+            response.status = 200;
+            this->shared.receive(vm, response);
+            return;
+        }
+    }
+}
+
+std::size_t request_probe::reconnects(const node_id& vm) const
+{
+    return static_cast<std::size_t>(std::ranges::count(this->reconnected, vm));
+}
+
+void request_probe::lose_link(const node_id& vm)
+{
+    this->shared.on_unreachable(vm);
+}
+
 void request_probe::pass(std::chrono::milliseconds time)
 {
     this->context.restart();
--- a/test/support/request_probe.hpp
+++ b/test/support/request_probe.hpp
@@ -33,6 +33,13 @@
     void wait_at(const dragonflyroad::node_id& vm, std::chrono::milliseconds wait);
     void decline(const dragonflyroad::node_id& vm, dragonflyroad::decline_reason reason);
     void fail(const dragonflyroad::node_id& vm);
+    /// The link to the VM fails, and no new one can be opened.
+    void lose_link(const dragonflyroad::node_id& vm);
+
+    /// The first run at the VM ends with an answer.
+    void answer_run(const dragonflyroad::node_id& vm);
+    /// How often a new link to the VM was requested.
+    std::size_t reconnects(const dragonflyroad::node_id& vm) const;
 
     /// Runs the event loop for this long.
     void pass(std::chrono::milliseconds time);
@@ -63,5 +70,6 @@
     dragonflyroad::dispatcher shared;
     dragonflyroad::quota_coordinator quota;
     std::vector<std::pair<dragonflyroad::node_id, dragonflyroad::link_message>> sent;
+    std::vector<dragonflyroad::node_id> reconnected;
     std::shared_ptr<dragonflyroad::dispatched_request> request;
 };
