Complete no answer by the end of a stream after a failed write

Cause: callers of long uploads got a part of an answer as a whole one. When the upstream resets a connection while the request is written, the write receives the error, and the next read reports an end of the stream. That end completed an answer without a length.

Change: after a failed write, a response is complete only by its own framing, and its connection is not used again.

--- a/src/mesh/http_client_pool.cpp
+++ b/src/mesh/http_client_pool.cpp
@@ -173,6 +173,7 @@
     this->done = std::move(function);
     this->decoder.emplace(this->request.method, this->pool->body_limit);
     this->is_written = false;
+    this->is_reset_in_write = false;
     this->has_carried_other = this->idle_since != time_point{};
     this->skipped_responses = 0;
     this->response_bytes = 0;
@@ -233,7 +234,8 @@
             if (self->is_closed) {
                 return;
             }
-            self->is_written = true;
+            self->is_written = !error;
+            self->is_reset_in_write = static_cast<bool>(error);
             if (error) {
                 // The peer may have responded and closed before it read the whole request.
                 self->read();
@@ -309,6 +311,13 @@
 
 void client_connection::on_end()
 {
+    // The kernel reports a reset once: when the write has received it, reads end as if in order.
+    if (this->is_reset_in_write) {
+        this->is_closed_by_peer = true;
+        this->finish(client_exchange_outcome::broken,
+                     "the connection was reset while the request was written");
+        return;
+    }
     if (this->decoder->decode_end() != decode_state::complete) {
         this->is_closed_by_peer = true;
         this->finish(client_exchange_outcome::broken, "the connection ended before the answer");
--- a/src/mesh/http_client_pool.hpp
+++ b/src/mesh/http_client_pool.hpp
@@ -140,7 +140,8 @@
     void read();
     void on_read(const boost::system::error_code& error, std::size_t size);
     void decode();
-    /// Handles the orderly end of the connection, which completes a response without a length.
+    /// Handles the end of the stream, which completes a response without a length if the connection
+    /// was not reset before.
     void on_end();
     /// Ends the request with a complete response, or skips the response if it belongs to another
     /// request.
@@ -181,6 +182,9 @@
     bool is_connected = false;
     bool is_reading = false;
     bool is_written = false;
+    /// The connection failed while the request was being written, so the end of the stream says
+    /// nothing about whether a response is complete.
+    bool is_reset_in_write = false;
     bool is_closed = false;
     bool is_closed_by_peer = false;
     int skipped_responses = 0;
