Reject a stated length beyond the limit before its body is read

Cause: a target's "Content-Length:" ended the process by signal 6, with the requests of other callers. The HTTP parser was eager: it noted that the length exceeds the limit, went on with the body if a byte of it had come with the head, lost the error and reserved memory for the length.

Change: the parser is not eager, so its error is seen after the head. The node under test no longer inherits the test's descriptors, since it kept the listener of a closed stand-in open.

--- a/src/mesh/http_codec.cpp
+++ b/src/mesh/http_codec.cpp
@@ -56,7 +56,8 @@
 }
 
 /// Feeds the buffer to a parser until the message is complete, more bytes are needed or an error is
-/// found.
+/// found. The parser must not be eager: an eager one goes on with a body that follows its head in
+/// the buffer although the head has exceeded the limit, and reserves memory for the stated length.
 template<typename Parser>
 decode_state feed(Parser& parser, std::string& buffer)
 {
@@ -82,7 +83,6 @@
 request_decoder::request_decoder(std::size_t max_header_bytes, std::size_t max_body_bytes)
     : state(std::make_shared<parser_holder>())
 {
-    this->state->parser.eager(true);
     this->state->parser.header_limit(static_cast<std::uint32_t>(max_header_bytes));
     this->state->parser.body_limit(max_body_bytes);
     this->state->max_body_bytes = max_body_bytes;
@@ -165,7 +165,6 @@
     void reset()
     {
         this->parser.emplace();
-        this->parser->eager(true);
         this->parser->header_limit(max_response_header_bytes);
         this->parser->body_limit(this->max_body_bytes);
         this->parser->skip(this->has_no_body);
--- a/test/clients/node_under_test.cpp
+++ b/test/clients/node_under_test.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <stdexcept>
 
 #include <fcntl.h>
@@ -23,6 +24,7 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
+constexpr unsigned short upstream_port = 19801;
 constexpr auto start_limit = 15s;
 constexpr auto caller_patience = 15s;
 constexpr auto pause_between_attempts = 100ms;
@@ -75,7 +77,8 @@
 {
     std::filesystem::create_directories(this->folder);
     this->store.configure(make_configuration());
-    if (!this->store.listen(this->ip + ":19806") || !this->upstream.listen(this->ip + ":19801")) {
+    if (!this->store.listen(this->ip + ":19806") ||
+        !this->upstream.listen(fmt::format("{}:{}", this->ip, upstream_port))) {
         return;
     }
     this->stand_ins = std::thread{[this] {
@@ -129,6 +132,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT,
                                      S_IRUSR | S_IWUSR);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // Without this the node would keep the listeners of the stand-ins open after they are closed.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error = ::posix_spawn(&this->process, name.c_str(), &actions, nullptr,
                                     arguments.data(), variables.data());
     posix_spawn_file_actions_destroy(&actions);
@@ -148,6 +153,24 @@
     return answer;
 }
 
+void node_under_test::replace_upstream(const std::optional<endless_answer>& answer)
+{
+    std::promise<void> replaced;
+    boost::asio::post(this->loop, [&] {
+        this->faulty_upstream.reset();
+        this->upstream.close();
+        if (answer) {
+            this->faulty_upstream.emplace(this->loop, answer->start, answer->piece, this->ip,
+                                          upstream_port);
+        }
+        else {
+            this->upstream.listen(fmt::format("{}:{}", this->ip, upstream_port));
+        }
+        replaced.set_value();
+    });
+    replaced.get_future().wait();
+}
+
 bool node_under_test::is_alive() const
 {
     return this->process > 0 && ::waitpid(this->process, nullptr, WNOHANG) == 0;
--- a/test/clients/node_under_test.hpp
+++ b/test/clients/node_under_test.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "test/clients/store_stand_in.hpp"
+#include "test/support/endless_peer.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -18,6 +20,12 @@
 constexpr std::size_t descriptor_limit = 400;
 constexpr std::size_t body_limit_bytes = 8U << 20U;
 
+/// What an upstream in trouble sends: a start, then one piece again and again.
+struct endless_answer {
+    std::string start;
+    std::string piece;
+};
+
 /// The program dragonflyroad-sidecar as a process of its own, with a store and one upstream that
 /// run in this test.
 class node_under_test {
@@ -38,6 +46,10 @@
     std::string control() const { return this->ip + ":19805"; }
     std::string metrics() const { return this->ip + ":9464"; }
 
+    /// Puts a peer that answers each connection without end in the place of the upstream, until it
+    /// is called with nothing.
+    void replace_upstream(const std::optional<endless_answer>& answer);
+
     bool is_alive() const;
     std::size_t peak_memory_mb() const;
     std::size_t descriptors() const;
@@ -60,6 +72,7 @@
     boost::asio::io_context loop;
     store_stand_in store;
     event_loop_http_server upstream;
+    std::optional<endless_peer> faulty_upstream;
     std::thread stand_ins;
     pid_t process = 0;
     int requests_sent = 0;
--- a/test/clients/test_uncontrolled_clients.cpp
+++ b/test/clients/test_uncontrolled_clients.cpp
@@ -2,6 +2,7 @@
 #include "test/clients/node_under_test.hpp"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -110,6 +111,28 @@
     CHECK(reserved < idle_reserved_bytes);
 }
 
+/// Lets a crowd of callers ask an upstream that answers without an end, and checks the node while
+/// it goes on, and an ordinary caller once the upstream is sound again.
+void answer_without_end(const endless_answer& answer)
+{
+    node_under_test node;
+    REQUIRE(node.is_prepared());
+    node.replace_upstream(answer);
+    {
+        crowd callers{
+            node.outbound(), endless_clients, {post + "Content-Length: 0\r\n\r\n", "", 0}};
+        callers.send_all();
+        for (int attempt = 0; attempt < settle_attempts / 2 && node.is_alive(); ++attempt) {
+            std::this_thread::sleep_for(settle_pause);
+        }
+        REQUIRE(node.is_alive());
+        MESSAGE("peak memory " << node.peak_memory_mb() << " MB");
+        node.replace_upstream(std::nullopt);
+        check_bounds(node);
+    }
+    CHECK(node.request_as_caller() == 200);
+}
+
 void attack_each_http_port(std::size_t clients, const client_script& script)
 {
     for (const named_port& target : http_ports) {
@@ -199,6 +222,39 @@
     }
 }
 
+// Guards against a node that keeps all that an upstream in trouble sends, and ends: the requests of
+// other callers end with it.
+TEST_CASE("answers of an upstream without an end do not exhaust the memory")
+{
+    const std::string noise(piece_bytes, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Response-Signature: signed\r\n";
+    SUBCASE("no head")
+    {
+        answer_without_end({noise, noise});
+    }
+    SUBCASE("a head of many fields")
+    {
+        answer_without_end({head, "X-Field: value\r\n"});
+    }
+    SUBCASE("interim answers")
+    {
+        answer_without_end({"", "HTTP/1.1 102 Processing\r\n\r\n"});
+    }
+    SUBCASE("a body without a length")
+    {
+        answer_without_end({head + "\r\n", noise});
+    }
+    SUBCASE("a body of a length that no memory can hold")
+    {
+        answer_without_end({head + "Content-Length: 999999999999\r\n\r\n", noise});
+    }
+    SUBCASE("a body in chunks")
+    {
+        answer_without_end({head + "Transfer-Encoding: chunked\r\n\r\n",
+                            fmt::format("{:x}\r\n", piece_bytes) + noise + "\r\n"});
+    }
+}
+
 // Guards against limits that turn away what the operators' configuration allows.
 TEST_CASE("a single body of the greatest legal size is served in calm")
 {
--- a/test/error/test_endless_response.cpp
+++ b/test/error/test_endless_response.cpp
@@ -1,12 +1,11 @@
 #include "mesh/http_client_pool.hpp"
+#include "test/support/endless_peer.hpp"
+#include "test/support/mesh_fleet.hpp"
 
-#include <functional>
-#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace dragonflyroad;
@@ -14,61 +13,9 @@
 
 namespace {
 
-using tcp = boost::asio::ip::tcp;
-
 constexpr std::size_t max_body_bytes = 1U << 20U;
 constexpr std::size_t max_receiving_bytes = 2U << 20U;
 
-/// A peer that answers each connection with `head` and then with `block` until it is closed.
-class endless_peer {
-public:
-    endless_peer(boost::asio::io_context& loop, std::string first, std::string repeated)
-        : acceptor(loop, tcp::endpoint{boost::asio::ip::make_address("127.0.0.1"), 0}),
-          head(std::move(first)),
-          block(std::move(repeated))
-    {
-        this->accept();
-    }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
-    }
-
-    std::size_t sent = 0;
-    std::size_t closed = 0;
-
-private:
-    void accept()
-    {
-        this->acceptor.async_accept(
-            [this](const boost::system::error_code& error, tcp::socket peer) {
-                if (!error) {
-                    this->write(std::make_shared<tcp::socket>(std::move(peer)), this->head);
-                    this->accept();
-                }
-            });
-    }
-
-    void write(const std::shared_ptr<tcp::socket>& peer, const std::string& bytes)
-    {
-        boost::asio::async_write(
-            *peer, boost::asio::buffer(bytes),
-            [this, peer](const boost::system::error_code& error, std::size_t size) {
-                this->sent += size;
-                if (error) {
-                    ++this->closed;
-                    return;
-                }
-                this->write(peer, this->block);
-            });
-    }
-
-    tcp::acceptor acceptor;
-    std::string head;
-    std::string block;
-};
-
 struct exchange_end {
     client_exchange_outcome outcome = client_exchange_outcome::answered;
     std::size_t sent = 0;
@@ -95,12 +42,12 @@
         });
     }
     const time_point limit = boot_clock::now() + 6s;
-    while ((ended < requests || peer.closed < static_cast<std::size_t>(requests)) &&
+    while ((ended < requests || peer.closed() < static_cast<std::size_t>(requests)) &&
            boot_clock::now() < limit) {
         loop.run_for(5ms);
     }
-    result.sent = peer.sent;
-    result.is_closed = peer.closed == static_cast<std::size_t>(requests);
+    result.sent = peer.sent();
+    result.is_closed = peer.closed() == static_cast<std::size_t>(requests);
     return result;
 }
 
@@ -169,3 +116,64 @@
     CHECK(end.is_closed);
     CHECK(end.sent < max_receiving_bytes + 6 * socket_buffer_bytes);
 }
+
+namespace {
+
+struct endless_response {
+    std::string where;
+    std::string head;
+    std::string block;
+};
+
+std::vector<endless_response> endless_responses()
+{
+    const std::string noise(32U << 10U, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Response-Signature: signed\r\n";
+    return {{"no head", noise, noise},
+            {"a header", head + "X-A: ", noise},
+            {"many headers", head, "X-A: b\r\n"},
+            {"a body until the end of the connection", head + "\r\n", noise},
+            {"a body beyond its length", head + "Content-Length: 4\r\n\r\n", noise},
+            {"a body of a length that nothing can hold",
+             head + "Content-Length: 999999999999\r\n\r\n", noise},
+            {"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + noise + "\r\n"}};
+}
+
+/// Lets the caller of one VM ask an endless upstream beside the other VM's node, or beside its own.
+void check_answered(std::size_t caller)
+{
+    mesh_fleet fleet{2};
+    const std::string sound = fleet.vms[1].upstream_address;
+    fleet.check_in(0, "draining", 2);
+    std::int64_t born = 1000;
+    for (const endless_response& endless : endless_responses()) {
+        CAPTURE(endless.where);
+        endless_peer faulty{fleet.context, endless.head, endless.block};
+        fleet.vms[1].upstream_address = faulty.address();
+        fleet.check_in(1, "ready", 1, ++born);
+        const auto answer = fleet.exchange(caller, "POST");
+        REQUIRE(answer.end == client_exchange_outcome::answered);
+        const bool is_whole = answer.response.status == 200 && answer.response.body == "xxxx";
+        CHECK((is_whole || answer.response.status == 502));
+        CHECK(fleet.run_until([&] { return faulty.closed() > 0; }));
+        CHECK(faulty.sent() < mesh_settings{}.memory_bytes / 4);
+        fleet.vms[1].upstream_address = sound;
+        fleet.check_in(1, "ready", 1, ++born);
+        CHECK(fleet.exchange(caller, "POST").response.status == 200);
+    }
+}
+
+} // namespace
+
+// Guards against a node that keeps all that a faulty upstream sends, or ends, with the requests of
+// other callers.
+TEST_CASE("an endless response of the node's own upstream is broken off and others are served")
+{
+    check_answered(1);
+}
+
+// Guards against the same at the node of the caller, which gets the response over a link.
+TEST_CASE("an endless response of another VM's upstream is broken off and others are served")
+{
+    check_answered(0);
+}
