Withhold work from an upstream when an earlier start of its id leaves

Cause: requests reached a target for as long as it lived after its leaving was acknowledged. It had restarted under its id while its clock went back, so its reports counted as late ones of an earlier start and were ignored, but answered 200. Work reached it all the same, by id and address.

Change: when an earlier start with the current id says that it drains or deregisters, the current one gets no work until it reports again.

--- a/src/dispatch/check_in_tracker.cpp
+++ b/src/dispatch/check_in_tracker.cpp
@@ -4,6 +4,12 @@
 
 namespace dragonflyroad {
 
+void check_in_tracker::withhold(std::int64_t left_start)
+{
+    this->latest->is_withheld = true;
+    this->departed.add(this->latest->id, left_start);
+}
+
 check_in_verdict check_in_tracker::apply(const upstream_check_in& report, time_point now)
 {
     if (this->departed.contains(report.id, report.started_at)) {
@@ -15,6 +21,11 @@
         is_start = known.id != report.id || known.started_at != report.started_at;
         const bool is_older =
             is_start ? report.started_at < known.started_at : report.sequence <= known.sequence;
+        const bool is_same_id = known.id == report.id;
+        if (is_older && is_start && is_same_id && report.state == check_in_state::draining) {
+            this->withhold(report.started_at);
+            return check_in_verdict::withheld;
+        }
         if (is_older) {
             return check_in_verdict::outdated;
         }
@@ -47,6 +58,9 @@
     if (is_current) {
         this->latest.reset();
     }
+    else if (this->latest && this->latest->id == id) {
+        this->latest->is_withheld = true;
+    }
     return is_current;
 }
 
--- a/src/dispatch/check_in_tracker.hpp
+++ b/src/dispatch/check_in_tracker.hpp
@@ -37,6 +37,9 @@
     service_name service;
     std::uint32_t slots = 1;
     bool is_draining = false;
+    /// An earlier start with this id says that it leaves. It may be the present process, after its
+    /// clock was set back, so no work is sent until this start reports again.
+    bool is_withheld = false;
     time_point cold_until{};
     std::int64_t sequence = 0;
     std::int64_t started_at = 0;
@@ -50,6 +53,9 @@
     /// A report of an older or deregistered lifetime, or one of the current lifetime that is not
     /// newer than the latest.
     outdated,
+    /// A report of an older start with the current id that says that it drains. The current one
+    /// gets no work until it reports again.
+    withheld,
 };
 
 /// Decides which reports of the upstream beside this node are accepted. A report may arrive late,
@@ -60,7 +66,8 @@
     check_in_verdict apply(const upstream_check_in& report, time_point now);
 
     /// Records that the lifetime with this id, and this start if the call states one, has
-    /// deregistered. False when it is not the current one.
+    /// deregistered. False when it is not the current one; if it is an earlier start of the same
+    /// id, the current one gets no work until it reports again.
     bool record_deregistration(const std::string& id,
                                std::optional<std::int64_t> stated_start = std::nullopt);
 
@@ -78,6 +85,9 @@
     const std::optional<local_upstream>& current() const { return this->latest; }
 
 private:
+    /// Withholds work from the current lifetime, because an earlier start with its id leaves.
+    void withhold(std::int64_t left_start);
+
     std::optional<local_upstream> latest;
     departed_lifetimes departed;
 };
--- a/src/mesh/upstream_runner.cpp
+++ b/src/mesh/upstream_runner.cpp
@@ -48,6 +48,11 @@
     if (verdict == check_in_verdict::outdated) {
         return verdict;
     }
+    if (verdict == check_in_verdict::withheld) {
+        this->upstream_changed();
+        this->tick();
+        return verdict;
+    }
     if (verdict == check_in_verdict::started) {
         if (before) {
             this->report_crash(*before);
@@ -82,7 +87,8 @@
 std::optional<local_upstream> upstream_runner::available_upstream() const
 {
     const auto& current = this->reports.current();
-    return current && !current->is_draining && !this->is_stopping ? current : std::nullopt;
+    const bool takes_work = current && !current->is_draining && !current->is_withheld;
+    return takes_work && !this->is_stopping ? current : std::nullopt;
 }
 
 std::size_t upstream_runner::service_upstream_count() const
--- a/test/correctness/test_dispatch.cpp
+++ b/test/correctness/test_dispatch.cpp
@@ -72,6 +72,31 @@
     CHECK(reports.current()->started_at == 2000);
 }
 
+// Guards against an upstream that keeps its work after its leaving was confirmed: it restarted
+// under its id while its clock went back, so its reports count as those of an earlier start.
+TEST_CASE("an earlier start that leaves withholds work until the later start reports again")
+{
+    check_in_tracker reports;
+    reports.apply(make_report(40, 2000), start);
+    upstream_check_in draining = make_report(2, 1000);
+    draining.state = check_in_state::draining;
+    CHECK(reports.apply(draining, start) == check_in_verdict::withheld);
+    REQUIRE(reports.current().has_value());
+    CHECK(reports.current()->is_withheld);
+    CHECK(reports.departures().contains("first", 1000));
+    CHECK_FALSE(reports.departures().contains("first", 2000));
+    CHECK(reports.apply(make_report(40, 2000), start) == check_in_verdict::outdated);
+    CHECK(reports.current()->is_withheld);
+    CHECK(reports.apply(make_report(41, 2000), start) == check_in_verdict::accepted);
+    CHECK_FALSE(reports.current()->is_withheld);
+    CHECK_FALSE(reports.record_deregistration("first", 1500));
+    CHECK(reports.current()->is_withheld);
+    draining.id = "another";
+    reports.apply(make_report(42, 2000), start);
+    CHECK(reports.apply(draining, start) == check_in_verdict::outdated);
+    CHECK_FALSE(reports.current()->is_withheld);
+}
+
 // Guards against an upstream that fails every request at once and so attracts all traffic, because
 // its slots are always free.
 TEST_CASE("one failure makes an upstream cost more than a short wait at another one")
--- a/test/error/test_mesh.cpp
+++ b/test/error/test_mesh.cpp
@@ -85,6 +85,27 @@
     CHECK(fleet.vms[1].upstream->runs.empty());
 }
 
+// Guards against requests that reach a leaving upstream for as long as it lives, because its clock
+// went back before its last start and its reports count as late ones.
+TEST_CASE("an upstream that restarted while its clock went back gets no work once it leaves")
+{
+    mesh_fleet fleet{2};
+    fleet.check_in(1, "ready", 1, 3000);
+    fleet.check_in(1, "ready", 1, 2000);
+    SUBCASE("it says that it drains")
+    {
+        fleet.check_in(1, "draining", 2, 2000);
+    }
+    SUBCASE("it deregisters")
+    {
+        fleet.vms[1].node->deregister_upstream("upstream-1", 2000);
+    }
+    for (int request = 0; request < 10; ++request) {
+        CHECK(fleet.exchange(1, "POST").response.status == 200);
+    }
+    CHECK(fleet.vms[1].upstream->runs.empty());
+}
+
 // Guards against withdrawn keys that are still accepted, and against a withdrawal that is reverted
 // when an older version of the configuration is written again.
 TEST_CASE("a withdrawn key stops working on every node")
