Count parsed heads, and parse fields once the head is complete

Cause: 900 clients with unfinished heads of many short fields, inside the limit, took a process beyond its memory. A parsed field takes about 75 bytes beside its own, and a connection reserved 24 KB for its buffers and its head. Complete heads were counted by their bytes only.

Change: the bytes of a head go to the parser when all of them are there, and a parsed head is reserved from the memory budget while its request is open. Tests in test/clients/test_uncontrolled_clients.cpp, which reach 115 MB of 64 without the change, and in test/correctness/test_stated_lengths.cpp. The node under test takes its limit on descriptors as an argument.

--- a/src/mesh/http_codec.cpp
+++ b/src/mesh/http_codec.cpp
@@ -30,6 +30,12 @@
 constexpr unsigned max_status = 599;
 constexpr unsigned switching_protocols = 101;
 
+constexpr std::string_view head_end = "\r\n\r\n";
+
+/// Memory of a header field beside its bytes: its place in the parser, and in two copies of the
+/// request's headers.
+constexpr std::size_t field_memory_bytes = 256;
+
 /// Steps in which the memory for a body without a stated length is reserved.
 constexpr std::size_t body_step_bytes = 64U << 10U;
 
@@ -75,27 +81,59 @@
 } // namespace
 
 struct request_decoder::parser_holder {
+    /// Passes the head to the parser when all of it is there: the parsed form of many short fields
+    /// takes twenty times their bytes.
+    decode_state decode_head(std::string& buffer);
+
     beast_http::request_parser<beast_http::string_body> parser;
     bool expect_continue_taken = false;
+    bool has_bytes = false;
+    std::size_t max_header_bytes = 0;
     std::size_t max_body_bytes = 0;
+    /// Bytes of the buffer in which the end of the head does not begin.
+    std::size_t searched_bytes = 0;
+    std::size_t head_memory = 0;
 };
 
+decode_state request_decoder::parser_holder::decode_head(std::string& buffer)
+{
+    // Empty lines and other bytes that cannot begin a method are rejected at once.
+    if (!buffer.empty() && !is_token(std::string_view{buffer}.substr(0, 1))) {
+        return decode_state::malformed;
+    }
+    const std::size_t end = buffer.find(head_end, this->searched_bytes);
+    const std::size_t head_bytes = end == std::string::npos ? buffer.size() : end + head_end.size();
+    if (head_bytes > this->max_header_bytes) {
+        return decode_state::header_too_large;
+    }
+    if (end == std::string::npos) {
+        this->searched_bytes = buffer.size() - std::min(buffer.size(), head_end.size() - 1);
+        return decode_state::incomplete;
+    }
+    return feed(this->parser, buffer);
+}
+
 request_decoder::request_decoder(std::size_t max_header_bytes, std::size_t max_body_bytes)
     : state(std::make_shared<parser_holder>())
 {
     this->state->parser.header_limit(static_cast<std::uint32_t>(max_header_bytes));
     this->state->parser.body_limit(max_body_bytes);
+    this->state->max_header_bytes = max_header_bytes;
     this->state->max_body_bytes = max_body_bytes;
 }
 
 decode_state request_decoder::decode(std::string& buffer)
 {
+    this->state->has_bytes = this->state->has_bytes || !buffer.empty();
+    if (!this->state->parser.is_header_done()) {
+        return this->state->decode_head(buffer);
+    }
     return feed(this->state->parser, buffer);
 }
 
 bool request_decoder::has_begun() const
 {
-    return this->state->parser.got_some();
+    return this->state->has_bytes;
 }
 
 bool request_decoder::take_expect_continue()
@@ -113,14 +151,18 @@
     return this->state->parser.is_header_done();
 }
 
-std::size_t request_decoder::head_size() const
+std::size_t request_decoder::head_memory() const
 {
-    const auto& message = this->state->parser.get();
-    std::size_t size = message.target().size();
-    for (const auto& field : message) {
-        size += field.name_string().size() + field.value().size();
+    parser_holder& holder = *this->state;
+    if (holder.head_memory == 0 && this->has_head()) {
+        const auto& message = holder.parser.get();
+        holder.head_memory = message.target().size();
+        for (const auto& field : message) {
+            holder.head_memory +=
+                field_memory_bytes + field.name_string().size() + field.value().size();
+        }
     }
-    return size;
+    return holder.head_memory;
 }
 
 std::size_t request_decoder::body_size() const
--- a/src/mesh/http_codec.hpp
+++ b/src/mesh/http_codec.hpp
@@ -54,8 +54,9 @@
     /// Whether the head is complete.
     bool has_head() const;
 
-    /// Bytes of the target and the header fields, once the head is complete.
-    std::size_t head_size() const;
+    /// Memory that the parsed head takes up, here and in the request that is made of it; 0 before
+    /// the head is complete.
+    std::size_t head_memory() const;
 
     /// Bytes of the body that have been decoded so far.
     std::size_t body_size() const;
--- a/src/mesh/server_connection.cpp
+++ b/src/mesh/server_connection.cpp
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds close_delay{1'000};
 constexpr std::chrono::milliseconds rejected_close_delay{3'000};
 
+/// Memory of a parsed head that the reservation of its connection covers: some twenty fields.
+constexpr std::size_t covered_head_bytes = 8U << 10U;
+
 /// Bytes of a response that are written before its progress is recorded.
 constexpr std::size_t write_step_bytes = 64U << 10U;
 
@@ -31,6 +34,7 @@
       timer(owner.context),
       source(std::move(from)),
       decoder(owner.handlers.limits().header_bytes, owner.handlers.limits().body_bytes),
+      head_reservation(owner.handlers.bounds.memory),
       body_reservation(owner.handlers.bounds.memory),
       last_completed_at(boot_clock::now())
 {
@@ -52,6 +56,7 @@
     boost::system::error_code ignored;
     this->timer.cancel();
     this->socket.close(ignored);
+    this->head_reservation.reset();
     this->body_reservation.reset();
     this->buffer = {};
     for (const request_pointer& entry : this->pipeline) {
@@ -121,11 +126,7 @@
            this->pipeline.size() < max_pipelined_requests) {
         decode_state state = this->decoder.decode(this->buffer);
         const bool is_sound = state == decode_state::incomplete || state == decode_state::complete;
-        memory_reservation head{this->server.handlers.bounds.memory};
-        const bool is_behind = state == decode_state::complete && !this->pipeline.empty();
-        const bool has_head_memory =
-            !is_behind || head.resize(this->decoder.head_size(), memory_use::small_body);
-        if (is_sound && (!has_head_memory || !this->reserve_body())) {
+        if (is_sound && (!this->reserve_head() || !this->reserve_body())) {
             state = decode_state::memory_short;
         }
         if (state == decode_state::incomplete) {
@@ -140,10 +141,8 @@
             this->reject(state);
             break;
         }
-        this->add_request(this->decoder.take(std::move(this->body_reservation)), std::move(head));
-        const caller_limits limits = this->server.handlers.limits();
-        this->decoder = request_decoder{limits.header_bytes, limits.body_bytes};
-        this->body_reservation = memory_reservation{this->server.handlers.bounds.memory};
+        this->add_request(this->decoder.take(std::move(this->body_reservation)));
+        this->reset_decoder();
         this->head_deadline = {};
         this->body_deadline = {};
     }
@@ -152,17 +151,35 @@
     this->arm_timer();
 }
 
-void server_connection::add_request(http_request request, memory_reservation head_reservation)
+void server_connection::reset_decoder()
+{
+    const caller_limits limits = this->server.handlers.limits();
+    this->decoder = request_decoder{limits.header_bytes, limits.body_bytes};
+    this->head_reservation = memory_reservation{this->server.handlers.bounds.memory};
+    this->body_reservation = memory_reservation{this->server.handlers.bounds.memory};
+}
+
+void server_connection::add_request(http_request request)
 {
     auto entry = std::make_shared<pipelined_request>();
     this->accepts_requests = request.keeps_connection;
     entry->request = std::move(request);
-    entry->head_reservation = std::move(head_reservation);
+    entry->head_reservation = std::move(this->head_reservation);
     entry->arrived = boot_clock::now();
     this->pipeline.push_back(std::move(entry));
     ++this->server.unanswered;
 }
 
+bool server_connection::reserve_head()
+{
+    const std::size_t needed = this->decoder.head_memory();
+    const bool is_covered = this->pipeline.empty() && needed <= covered_head_bytes;
+    return is_covered || needed <= this->head_reservation.size() ||
+           this->head_reservation.resize(needed, needed > small_body_bytes
+                                                     ? memory_use::large_request
+                                                     : memory_use::small_body);
+}
+
 bool server_connection::reserve_body()
 {
     const std::size_t needed = this->decoder.memory_needed();
@@ -188,9 +205,7 @@
     this->accepts_requests = false;
     this->was_rejected = true;
     this->buffer = {};
-    const caller_limits limits = this->server.handlers.limits();
-    this->decoder = request_decoder{limits.header_bytes, limits.body_bytes};
-    this->body_reservation.reset();
+    this->reset_decoder();
     auto entry = std::make_shared<pipelined_request>();
     entry->is_started = true;
     entry->answer = std::move(answer);
@@ -312,6 +327,7 @@
     boost::system::error_code ignored;
     this->accepts_requests = false;
     this->buffer = {};
+    this->head_reservation.reset();
     this->body_reservation.reset();
     this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     this->discard_requests();
--- a/src/mesh/server_connection.hpp
+++ b/src/mesh/server_connection.hpp
@@ -43,8 +43,7 @@
         time_point arrived{};
         std::shared_ptr<served_request> served;
         std::optional<http_response> answer;
-        /// For the head of a request behind others; the connection's own covers that of one
-        /// request.
+        /// For a head that the connection's own reservation does not cover.
         memory_reservation head_reservation;
         bool is_started = false;
     };
@@ -53,12 +52,17 @@
     void read();
     void on_read(std::size_t size);
     void decode();
-    void add_request(http_request request, memory_reservation head_reservation);
+    void add_request(http_request request);
     void start_requests();
     void start_request(const request_pointer& entry);
     void set_response(const request_pointer& entry, http_response answer);
+    /// Reserves memory for the head that was read. The connection's own reservation covers an
+    /// ordinary head of one request. False when there is none.
+    bool reserve_head();
     /// Reserves memory for the body that is arriving. False when there is none.
     bool reserve_body();
+    /// Prepares for the next request.
+    void reset_decoder();
     void reject(decode_state state);
     /// Answers without a request that was read completely; the connection closes then.
     void answer_and_close(http_response answer);
@@ -81,6 +85,7 @@
     std::string output;
     origin source;
     request_decoder decoder;
+    memory_reservation head_reservation;
     memory_reservation body_reservation;
     time_point last_completed_at{};
     /// Deadlines of what the client has to do next; see next_deadline().
--- a/test/clients/node_under_test.cpp
+++ b/test/clients/node_under_test.cpp
@@ -67,10 +67,11 @@
 
 } // namespace
 
-node_under_test::node_under_test()
+node_under_test::node_under_test(std::size_t descriptors)
     : ip(fmt::format("127.78.{}.1", ::getpid() % 250)),
       folder(std::filesystem::temp_directory_path() /
              fmt::format("dragonflyroad-clients-{}", ::getpid())),
+      max_descriptors(descriptors),
       store(this->loop),
       upstream(this->loop, upstream_callbacks(
                                [this](const http_request& request) { return this->run(request); }))
@@ -117,7 +118,7 @@
         "[listen]\ninbound = \"{0}:19802\"\noutbound = \"{0}:19803\"\nready = \"{0}:19804\"\n"
         "control = \"{0}:19805\"\n[limits]\nmemory_mb = {1}\nmax_fds = {2}\n"
         "[platform]\naddress = \"{0}:19806\"\n",
-        this->ip, memory_limit_mb, descriptor_limit);
+        this->ip, memory_limit_mb, this->max_descriptors);
 }
 
 void node_under_test::start()
--- a/test/clients/node_under_test.hpp
+++ b/test/clients/node_under_test.hpp
@@ -30,7 +30,8 @@
 /// run in this test.
 class node_under_test {
 public:
-    node_under_test();
+    /// `descriptors` is the limit in the settings of the process.
+    explicit node_under_test(std::size_t descriptors = descriptor_limit);
     node_under_test(const node_under_test&) = delete;
     node_under_test& operator=(const node_under_test&) = delete;
     node_under_test(node_under_test&&) = delete;
@@ -69,6 +70,7 @@
 
     std::string ip;
     std::string folder;
+    std::size_t max_descriptors;
     boost::asio::io_context loop;
     store_stand_in store;
     event_loop_http_server upstream;
--- a/test/clients/test_uncontrolled_clients.cpp
+++ b/test/clients/test_uncontrolled_clients.cpp
@@ -25,6 +25,11 @@
 /// More than the descriptors that the process may use.
 constexpr std::size_t idle_clients = 600;
 
+/// Heads just inside the limit of the configuration, and descriptors for their connections.
+constexpr std::size_t short_field_bytes = 15'000;
+constexpr std::size_t short_field_clients = 350;
+constexpr std::size_t short_field_descriptors = 1'000;
+
 /// Bytes that may stay reserved when only the connections of the check itself are open.
 constexpr double idle_reserved_bytes = 256 << 10;
 
@@ -66,17 +71,17 @@
     return bytes;
 }
 
-void check_bounds(node_under_test& node)
+void check_bounds(node_under_test& node, std::size_t descriptors = descriptor_limit)
 {
     REQUIRE(node.is_alive());
     CHECK(node.peak_memory_mb() < memory_limit_mb);
-    CHECK(node.descriptors() < descriptor_limit);
+    CHECK(node.descriptors() < descriptors);
     CHECK(node.check_readiness() == 200);
     CHECK(node.check_in() == 200);
     CHECK(node.request_as_caller() == 200);
     REQUIRE(node.is_alive());
     CHECK(node.peak_memory_mb() < memory_limit_mb);
-    CHECK(node.descriptors() < descriptor_limit);
+    CHECK(node.descriptors() < descriptors);
 }
 
 /// The reserved bytes once the node has handled the end of the crowd's connections, which may take
@@ -94,16 +99,17 @@
     return reserved;
 }
 
-void attack(port target, std::size_t clients, const client_script& script)
+void attack(port target, std::size_t clients, const client_script& script,
+            std::size_t descriptors = descriptor_limit)
 {
-    node_under_test node;
+    node_under_test node{descriptors};
     REQUIRE(node.is_prepared());
     {
         crowd hostile{(node.*target)(), clients, script};
         hostile.send_all();
         MESSAGE("sent " << (hostile.bytes_sent() >> 20U) << " MB, peak memory "
                         << node.peak_memory_mb() << " MB, descriptors " << node.descriptors());
-        check_bounds(node);
+        check_bounds(node, descriptors);
     }
     CHECK(node.request_as_caller() == 200);
     const double reserved = reserved_when_settled(node);
@@ -164,6 +170,27 @@
     attack_each_http_port(endless_clients, endless("GET / HTTP/1.1\r\n", "X-Field: value\r\n"));
 }
 
+// Guards against heads that are counted by their bytes while their parsed form takes many times as
+// much: 350 of them took 115 MB.
+TEST_CASE("many heads of short fields inside the limit do not exhaust the memory")
+{
+    std::string fields;
+    while (fields.size() < short_field_bytes) {
+        fields += "a:\r\n";
+    }
+    SUBCASE("without their end")
+    {
+        attack(&node_under_test::outbound, short_field_clients, {post + fields, "", 0},
+               short_field_descriptors);
+    }
+    SUBCASE("with a body that stops short of its end")
+    {
+        attack(&node_under_test::outbound, short_field_clients,
+               {post + "Content-Length: 100\r\n" + fields + "\r\nb", "", 0},
+               short_field_descriptors);
+    }
+}
+
 TEST_CASE("empty lines without an end before a request do not exhaust the memory")
 {
     attack_each_http_port(endless_clients, endless("", "\r\n"));
--- a/test/correctness/test_stated_lengths.cpp
+++ b/test/correctness/test_stated_lengths.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 using namespace dragonflyroad;
 
@@ -38,7 +39,7 @@
         for (const std::string& first_bytes : std::vector<std::string>{"", "x"}) {
             CAPTURE(length);
             CAPTURE(first_bytes);
-            const std::string rest = length + "\r\n\r\n" + first_bytes;
+            const std::string rest = fmt::format("{}\r\n\r\n{}", length, first_bytes);
             CHECK(decode_request(request + rest) == decode_state::body_too_large);
             CHECK(decode_response(response + rest) == decode_state::body_too_large);
         }
@@ -77,3 +78,42 @@
     CHECK(in_pieces.decode(buffer) == decode_state::complete);
     CHECK(in_pieces.take().body == "body");
 }
+
+// Guards against a head that is decoded only if it arrives at once, or whose parts are lost.
+TEST_CASE("a request is read whatever the pieces in which it arrives")
+{
+    const std::string head = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n";
+    for (std::size_t cut = 1; cut < head.size() + 4; ++cut) {
+        CAPTURE(cut);
+        const std::string whole = head + "body";
+        request_decoder decoder{max_header_bytes, max_body_bytes};
+        std::string buffer = whole.substr(0, cut);
+        CHECK(decoder.decode(buffer) == decode_state::incomplete);
+        CHECK(decoder.has_begun());
+        CHECK(decoder.has_head() == (cut >= head.size()));
+        buffer += whole.substr(cut) + "POST";
+        REQUIRE(decoder.decode(buffer) == decode_state::complete);
+        const http_request request = decoder.take();
+        CHECK(request.head.target == "/a");
+        CHECK(request.body == "body");
+        CHECK(buffer == "POST");
+    }
+}
+
+// Guards against input without an end that is kept: it is rejected at the limit or at once.
+TEST_CASE("a head beyond the limit and bytes that begin no request are rejected")
+{
+    request_decoder exact{max_header_bytes, max_body_bytes};
+    const std::string begin = "GET / HTTP/1.1\r\nX-Long: ";
+    std::string head = begin + std::string(max_header_bytes - begin.size() - 4, 'h') + "\r\n\r\n";
+    REQUIRE(head.size() == max_header_bytes);
+    CHECK(exact.decode(head) == decode_state::complete);
+    for (const std::string& endless :
+         std::vector<std::string>{begin + std::string(max_header_bytes, 'h'),
+                                  begin + std::string(max_header_bytes, 'h') + "\r\n\r\n"}) {
+        CHECK(decode_request(endless) == decode_state::header_too_large);
+    }
+    for (const std::string& odd : std::vector<std::string>{"\r\n", " GET", "\n", "\xff"}) {
+        CHECK(decode_request(odd) == decode_state::malformed);
+    }
+}
