Refuse link messages that are nested deeply

Cause: the decoder of link messages calls itself for each level of nesting. A head of 16 MB of nested arrays, which any peer may send after its hello, overflows the stack and ends the process.

Change: decoding gives up at more than eight levels; messages have three. Test in test/error/test_odd_entries.cpp. Before the change, the same call in a program of its own ended by signal 11.

--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -259,6 +259,40 @@
     }
 }
 
+/// Builds a document, and gives up at arrays and objects that are nested deeper than in any
+/// message: the decoder calls itself for each level, and 16 MB of nested arrays overflowed the
+/// stack.
+class bounded_document_builder : public nlohmann::detail::json_sax_dom_parser<json> {
+public:
+    using base = nlohmann::detail::json_sax_dom_parser<json>;
+    using base::base;
+
+    bool start_array(std::size_t size)
+    {
+        return ++this->depth <= max_message_depth && this->base::start_array(size);
+    }
+    bool end_array()
+    {
+        --this->depth;
+        return this->base::end_array();
+    }
+    bool start_object(std::size_t size)
+    {
+        return ++this->depth <= max_message_depth && this->base::start_object(size);
+    }
+    bool end_object()
+    {
+        --this->depth;
+        return this->base::end_object();
+    }
+
+private:
+    /// The deepest message has three levels.
+    static constexpr std::size_t max_message_depth = 8;
+
+    std::size_t depth = 0;
+};
+
 template<std::size_t Index = 0>
 link_message read_message(std::size_t kind, field_reader& reader)
 {
@@ -291,7 +325,11 @@
                                              const std::string& peer)
 {
     try {
-        json document = json::from_cbor(head.begin(), head.end());
+        json document;
+        bounded_document_builder builder{document};
+        if (!json::sax_parse(head.begin(), head.end(), &builder, json::input_format_t::cbor)) {
+            return fail("decode message", peer, "the fields are nested too deeply");
+        }
         const auto kind = document.at(0).get<std::size_t>();
         field_reader reader{std::move(document), body_bytes};
         link_message message = read_message(kind, reader);
--- a/test/error/test_odd_entries.cpp
+++ b/test/error/test_odd_entries.cpp
@@ -1,3 +1,4 @@
+#include "mesh/link_message.hpp"
 #include "platform/check_in.hpp"
 #include "test/support/mesh_fleet.hpp"
 #include "test/support/test_ports.hpp"
@@ -121,3 +122,17 @@
     CHECK_FALSE(decodes("2", "4", "1e30"));
     CHECK_FALSE(decodes(std::string(20'000, '[') + std::string(20'000, ']'), "4", "1000"));
 }
+
+// Guards against a node that ends because the decoder of link messages calls itself for each level
+// of nesting and overflows the stack.
+TEST_CASE("a link message that is nested deeply is refused")
+{
+    for (const char opening : {'\x81', '\x9f', '\xa1', '\xbf'}) {
+        CHECK_FALSE(decode_link_head(std::string(max_link_head_bytes, opening), 0, "peer"));
+        CHECK_FALSE(decode_link_head("\x82\x01" + std::string(1U << 20U, opening), 0, "peer"));
+    }
+    reserve_message whole;
+    whole.service = service_name{"books"};
+    const std::string bytes = encode_link_message(whole);
+    CHECK(decode_link_message(bytes, "peer").has_value());
+}
