--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -1,73 +1,95 @@
 #include "../harness-3/fleet.hpp"
 #include "../harness-3/record.hpp"
 
+#include <csignal>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace review;
 
 namespace {
 
-/// Transfer codings of a body that is neither in chunks nor of a stated length.
-const std::vector<std::string> codings{"gzip", "identity", "chunked, identity", "chunked, gzip"};
+constexpr std::size_t connections = 6;
 
-/// What a requester sends as the body of a request: a text that reads like a request.
-std::string body_for(std::size_t number)
+struct reply {
+    read_outcome outcome = read_outcome::timed_out;
+    int status = 0;
+};
+
+message get(const std::string& attempt, int work)
 {
-    message text;
-    text.start_line = "POST /unsafe/submit?work=50 HTTP/1.1";
-    text.headers = {{"Host", "marks.example"},
-                    {"X-Attempt-Id", "inside-" + std::to_string(number)},
-                    {"X-Deadline-Ms", "2000"}};
-    text.body = "voucher";
-    return text.bytes();
+    message request;
+    request.start_line = "GET /safe/read?work=" + std::to_string(work) + " HTTP/1.1";
+    request.headers = {
+        {"Host", "reads.example"}, {"X-Attempt-Id", attempt}, {"X-Deadline-Ms", "5000"}};
+    return request;
 }
 
-/// Sends one request and reads what comes on its connection. Returns the number of successes.
-int send_one(const address& node, std::size_t number)
+/// Sends two safe requests, the second before the first has been answered, and reads both answers.
+void call_twice(const address& node, std::size_t index, reply& second)
 {
-    const std::string body = body_for(number);
-    const std::string framing = has_trouble() ? "Transfer-Encoding: " + codings[number]
-                                              : "Content-Length: " + std::to_string(body.size());
     const auto opened = connection::open(node);
-    const std::string id = "outside-" + std::to_string(number);
+    const std::string first_id = "first-" + std::to_string(index);
+    const std::string second_id = "second-" + std::to_string(index);
     if (opened == nullptr ||
-        !opened->send("POST /unsafe/submit?work=50 HTTP/1.1\r\nHost: marks.example\r\n"
-                      "X-Attempt-Id: " +
-                      id + "\r\nX-Deadline-Ms: 2000\r\n" + framing + "\r\n\r\n" + body)) {
-        return 0;
+        !opened->send(get(first_id, 870).bytes() + get(second_id, 1500).bytes())) {
+        return;
     }
-    record("client: sends " + id + " with " + framing + ", the body reads like a request");
-    int successes = 0;
-    message answer;
-    while (opened->read(answer, after(milliseconds{1'500})) == read_outcome::complete) {
-        record("client: reads an answer " + std::to_string(answer.status()) + " of attempt '" +
-               answer.header("X-Attempt-Id") + "'");
-        successes += answer.status() == 200 ? 1 : 0;
+    record("client: sends " + first_id + " and " + second_id + " on one connection");
+    for (const std::string& id : {first_id, second_id}) {
+        message answer;
+        reply got;
+        got.outcome = opened->read(answer, after(milliseconds{5'000}));
+        got.status = got.outcome == read_outcome::complete ? answer.status() : 0;
+        record("client: " + id +
+               (got.status == 0
+                    ? " gets no answer, the connection has ended"
+                    : " gets " + std::to_string(got.status) + ' ' + answer.header("Connection")));
+        second = got;
+        if (got.status == 0) {
+            second = {};
+            return;
+        }
     }
-    return successes;
 }
 
 int play(fleet& all)
 {
     auto configuration = empty_configuration(7);
-    configuration["routes"]["r-1"] = route("marks", "unsafe");
-    if (!all.start({{"n1", "a", "marks"}, {"n2", "a", "marks"}}, configuration)) {
+    configuration["routes"]["r-1"] = route("reads", "safe");
+    if (!all.start({{"n1", "a", "reads"}, {"n2", "a", "reads"}, {"n3", "a", "reads"}},
+                   configuration)) {
         return could_not_run;
     }
-    int successes = 0;
-    for (std::size_t number = 0; number < codings.size(); ++number) {
-        successes += send_one(all.nodes[0]->outbound(), number);
+    std::vector<reply> replies(connections);
+    std::vector<std::thread> clients;
+    for (std::size_t index = 0; index < connections; ++index) {
+        clients.emplace_back(
+            [&, index] { call_twice(all.nodes[0]->outbound(), index, replies[index]); });
+    }
+    std::this_thread::sleep_for(milliseconds{400});
+    if (has_trouble()) {
+        all.nodes[0]->signal(SIGTERM);
+    }
+    for (std::thread& client : clients) {
+        client.join();
     }
-    int smuggled = 0;
-    for (const auto& target : all.targets) {
-        for (const auto& run : target->runs()) {
-            smuggled += run.attempt.starts_with("inside-") ? 1 : 0;
+    std::size_t unanswered = 0;
+    std::size_t lost = 0;
+    for (std::size_t index = 0; index < connections; ++index) {
+        const bool is_answered = replies[index].status != 0;
+        unanswered += is_answered ? 0 : 1;
+        for (const auto& target : all.targets) {
+            for (const auto& run : target->runs()) {
+                const bool is_second = run.attempt == "second-" + std::to_string(index);
+                lost += is_second && !is_answered ? 1 : 0;
+            }
         }
     }
-    record("requests sent: " + std::to_string(codings.size()) + ", successes read: " +
-           std::to_string(successes) + ", bodies that a target ran: " + std::to_string(smuggled));
-    return smuggled > 0 ? broken : held;
+    record("second requests without an answer: " + std::to_string(unanswered) +
+           ", of these passed on to a target: " + std::to_string(lost));
+    return lost > 0 ? broken : held;
 }
 
 } // namespace
--- a/review/harness-3/fleet.cpp
+++ b/review/harness-3/fleet.cpp
@@ -3,6 +3,8 @@
 #include "record.hpp"
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -10,6 +12,7 @@
 #include <iostream>
 #include <random>
 #include <thread>
+#include <utility>
 
 #include <fcntl.h>
 #include <sys/wait.h>
@@ -34,6 +37,32 @@
     R"("budget_window=10s","retry_budget_slack=60","quota_window=5s","quota_overage=0.1",)"
     R"("quota_slack=20","recovery=15s","probes_per_s=3","floor_share=0.7"])";
 
+/// The longest time that a script may take.
+constexpr unsigned longest_case_seconds = 120;
+
+/// The processes that run now; the handler of signals ends them with the case.
+std::array<std::atomic<pid_t>, 16> running{};
+
+void replace_running(pid_t before, pid_t next)
+{
+    for (auto& id : running) {
+        pid_t expected = before;
+        if (id.compare_exchange_strong(expected, next)) {
+            return;
+        }
+    }
+}
+
+extern "C" void end_case(int /*signal*/)
+{
+    for (const auto& id : running) {
+        if (id > 0) {
+            ::kill(id, SIGKILL);
+        }
+    }
+    ::_exit(could_not_run);
+}
+
 bool wait_for(milliseconds limit, const std::function<bool()>& condition)
 {
     const auto until = after(limit);
@@ -87,6 +116,7 @@
         ::execve(program, arguments, environment);
         ::_exit(127);
     }
+    replace_running(0, this->process);
     record(this->settings.name + ": start " + std::to_string(this->starts));
     return this->process > 0;
 }
@@ -105,7 +135,7 @@
         int status = 0;
         if (::waitpid(this->process, &status, WNOHANG) == this->process) {
             record(this->settings.name + ": ended with status " + std::to_string(status));
-            this->process = -1;
+            replace_running(std::exchange(this->process, -1), 0);
         }
     }
     return this->process > 0;
@@ -233,6 +263,10 @@
         std::cerr << program << " is missing: build the deploy file first\n";
         return could_not_run;
     }
+    for (const int number : {SIGTERM, SIGINT, SIGALRM}) {
+        std::signal(number, end_case);
+    }
+    ::alarm(longest_case_seconds);
     open_record(record_path);
     fleet all;
     const int verdict = play(all);
--- a/review/harness-3/net.cpp
+++ b/review/harness-3/net.cpp
@@ -126,17 +126,23 @@
     return word(this->start_line, 1);
 }
 
-std::string message::bytes() const
+std::string message::head_bytes() const
 {
     std::string text = this->start_line + "\r\n";
     for (const auto& [name, value] : this->headers) {
         text.append(name).append(": ").append(value).append("\r\n");
     }
+    return text + "\r\n";
+}
+
+std::string message::bytes() const
+{
+    message framed = *this;
     const bool is_bare = this->body.empty() && this->start_line.starts_with("GET ");
     if (!is_bare && this->header("Content-Length").empty()) {
-        text += "Content-Length: " + std::to_string(this->body.size()) + "\r\n";
+        framed.headers.emplace_back("Content-Length", std::to_string(this->body.size()));
     }
-    return text + "\r\n" + this->body;
+    return framed.head_bytes() + this->body;
 }
 
 std::map<std::string, std::string> query_fields(const std::string& target)
--- a/review/harness-3/net.hpp
+++ b/review/harness-3/net.hpp
@@ -38,6 +38,8 @@
     /// Method and target of a request.
     std::string method() const;
     std::string target() const;
+    /// The head as it stands, and the whole message, which states its length if no field does.
+    std::string head_bytes() const;
     std::string bytes() const;
 };
 
--- a/review/harness-3/store.cpp
+++ b/review/harness-3/store.cpp
@@ -77,13 +77,41 @@
 {
     const std::lock_guard lock{this->guard};
     this->write(key, encode_base64(value), 0);
-    record("store: " + key + " is written, revision " + std::to_string(this->revision));
+    record("store: " + key + " is written, revision " + std::to_string(this->now.revision));
 }
 
-std::string platform_store::last_conditional_writer()
+void platform_store::copy()
 {
     const std::lock_guard lock{this->guard};
-    return this->last_writer;
+    this->older = this->now;
+    record("store: a copy is kept, revision " + std::to_string(this->now.revision));
+}
+
+void platform_store::go_back(milliseconds away)
+{
+    for (const auto& [machine, state] : std::map{this->doors}) {
+        this->set_door(machine, door_state::silent);
+    }
+    record("store: takes no calls");
+    std::this_thread::sleep_for(away);
+    {
+        const std::lock_guard lock{this->guard};
+        this->now = this->older;
+        for (auto& [lease, known] : this->now.leases) {
+            known.until = after(known.time_to_live);
+        }
+        ++this->era;
+        record("store: is back from the copy, era " + std::to_string(this->era));
+    }
+    for (const auto& [machine, state] : std::map{this->doors}) {
+        this->set_door(machine, door_state::open);
+    }
+}
+
+bool platform_store::has(const std::string& key)
+{
+    const std::lock_guard lock{this->guard};
+    return this->now.items.contains(key);
 }
 
 void platform_store::handle(const std::string& machine, connection& caller)
@@ -110,7 +138,7 @@
                                                           : std::pair{0, json::object()};
     }
     if (result.first == 0) {
-        result = this->execute(machine, call);
+        result = this->execute(call);
     }
     {
         const std::lock_guard lock{this->guard};
@@ -121,11 +149,14 @@
     message response;
     response.start_line = "HTTP/1.1 " + std::to_string(result.first) + " Status";
     response.headers = {{"Content-Type", "application/json"}};
+    if (this->states_era) {
+        response.headers.emplace_back("Store-Era", std::to_string(this->era));
+    }
     response.body = result.second.dump();
     return caller.send(response.bytes());
 }
 
-std::pair<int, json> platform_store::execute(const std::string& machine, const message& call)
+std::pair<int, json> platform_store::execute(const message& call)
 {
     const std::string target = call.target();
     const std::string path = target.substr(0, target.find('?'));
@@ -136,13 +167,14 @@
         return this->range(target);
     }
     if (path == "/kv-txn") {
-        return this->commit(machine, call.body);
+        return this->commit(call.body);
     }
     if (path == "/kv-key") {
         const std::lock_guard lock{this->guard};
-        const auto found = this->items.find(query_fields(target)["key"]);
-        return found == this->items.end() ? std::pair{404, json::object()}
-                                          : std::pair{200, this->row(found->first, found->second)};
+        const auto found = this->now.items.find(query_fields(target)["key"]);
+        return found == this->now.items.end()
+                   ? std::pair{404, json::object()}
+                   : std::pair{200, this->row(found->first, found->second)};
     }
     return this->change_lease(call);
 }
@@ -154,7 +186,7 @@
             {"revision", stored.revision},
             {"created_at", stored.created_at},
             {"lease", stored.lease},
-            {"current_rev", this->revision}};
+            {"current_rev", this->now.revision}};
 }
 
 std::pair<int, json> platform_store::range(const std::string& target)
@@ -164,7 +196,7 @@
     const std::lock_guard lock{this->guard};
     json rows = json::array();
     bool has_more = false;
-    for (const auto& [key, stored] : this->items) {
+    for (const auto& [key, stored] : this->now.items) {
         if (key.starts_with(fields["prefix"]) && key > fields["after"]) {
             has_more = rows.size() == page;
             if (has_more) {
@@ -173,7 +205,7 @@
             rows.push_back(this->row(key, stored));
         }
     }
-    return {200, {{"items", rows}, {"has_more", has_more}, {"current_rev", this->revision}}};
+    return {200, {{"items", rows}, {"has_more", has_more}, {"current_rev", this->now.revision}}};
 }
 
 std::pair<int, json> platform_store::watch(const std::string& target)
@@ -182,21 +214,27 @@
     const std::uint64_t since = number_in(fields, "after");
     const auto until = after(milliseconds{number_in(fields, "wait_ms")});
     std::unique_lock lock{this->guard};
+    const std::uint64_t begun_in = this->era;
     json events = json::array();
     const auto collect = [&] {
-        for (const json& event : this->history) {
+        for (const json& event : this->now.history) {
             const bool is_new = event.at("revision").get<std::uint64_t>() > since;
             if (is_new && event.at("key").get<std::string>().starts_with(fields["prefix"])) {
                 events.push_back(event);
             }
         }
-        return !events.empty();
+        return !events.empty() || this->era != begun_in;
     };
-    this->changed.wait_until(lock, until, collect);
-    return {200, {{"events", events}, {"current_rev", this->revision}}};
+    if (since <= this->now.revision) {
+        this->changed.wait_until(lock, until, collect);
+    }
+    if (since > this->now.revision || this->era != begun_in) {
+        return {410, json::object()};
+    }
+    return {200, {{"events", events}, {"current_rev", this->now.revision}}};
 }
 
-std::pair<int, json> platform_store::commit(const std::string& machine, const std::string& body)
+std::pair<int, json> platform_store::commit(const std::string& body)
 {
     const json request = json::parse(body);
     const json conditions = request.value("expected_revision", json::array());
@@ -208,15 +246,15 @@
         return {400, json::object()};
     }
     for (const json& condition : conditions) {
-        const auto found = this->items.find(condition.at("key").get<std::string>());
-        const std::uint64_t present = found == this->items.end() ? 0 : found->second.revision;
+        const auto found = this->now.items.find(condition.at("key").get<std::string>());
+        const std::uint64_t present = found == this->now.items.end() ? 0 : found->second.revision;
         if (present != condition.at("revision").get<std::uint64_t>()) {
             return {412, {{"items", json::array()}}};
         }
     }
     for (const json& wanted : writes) {
         const auto lease = wanted.value("lease", std::uint64_t{0});
-        if (lease != 0 && !this->leases.contains(lease)) {
+        if (lease != 0 && !this->now.leases.contains(lease)) {
             return {404, json::object()};
         }
     }
@@ -226,10 +264,7 @@
     for (const json& key : removals) {
         this->remove(key.get<std::string>());
     }
-    if (!conditions.empty()) {
-        this->last_writer = machine;
-    }
-    return {200, {{"revision", this->revision}}};
+    return {200, {{"revision", this->now.revision}}};
 }
 
 std::pair<int, json> platform_store::change_lease(const message& call)
@@ -239,12 +274,12 @@
     const std::string target = call.target();
     if (target == "/kv-lease") {
         const std::string time = json::parse(call.body).at("ttl_time");
-        this->leases[++this->last_lease] = {parse_time(time), after(parse_time(time))};
-        return {200, {{"lease", this->last_lease}, {"ttl_time", time}}};
+        this->now.leases[++this->now.last_lease] = {parse_time(time), after(parse_time(time))};
+        return {200, {{"lease", this->now.last_lease}, {"ttl_time", time}}};
     }
     const auto lease = std::strtoull(target.substr(target.rfind('/') + 1).c_str(), nullptr, 10);
-    const auto found = this->leases.find(lease);
-    if (found == this->leases.end()) {
+    const auto found = this->now.leases.find(lease);
+    if (found == this->now.leases.end()) {
         return {404, json::object()};
     }
     const milliseconds time = found->second.time_to_live;
@@ -255,31 +290,31 @@
 
 void platform_store::write(const std::string& key, const std::string& value, std::uint64_t lease)
 {
-    item& stored = this->items[key];
+    item& stored = this->now.items[key];
     stored.value = value;
-    stored.revision = ++this->revision;
+    stored.revision = ++this->now.revision;
     stored.created_at = stored.created_at == 0 ? stored.revision : stored.created_at;
     stored.lease = lease;
-    this->history.push_back(this->row(key, stored));
+    this->now.history.push_back(this->row(key, stored));
     this->changed.notify_all();
 }
 
 void platform_store::remove(const std::string& key)
 {
-    if (this->items.erase(key) > 0) {
-        this->history.push_back(
-            {{"key", key}, {"revision", ++this->revision}, {"tombstone", true}});
+    if (this->now.items.erase(key) > 0) {
+        this->now.history.push_back(
+            {{"key", key}, {"revision", ++this->now.revision}, {"tombstone", true}});
         this->changed.notify_all();
     }
 }
 
 void platform_store::expire_leases()
 {
-    std::erase_if(this->leases,
+    std::erase_if(this->now.leases,
                   [](const auto& lease) { return lease.second.until <= steady::now(); });
     std::vector<std::string> ended;
-    for (const auto& [key, stored] : this->items) {
-        if (stored.lease != 0 && !this->leases.contains(stored.lease)) {
+    for (const auto& [key, stored] : this->now.items) {
+        if (stored.lease != 0 && !this->now.leases.contains(stored.lease)) {
             ended.push_back(key);
         }
     }
--- a/review/harness-3/store.hpp
+++ b/review/harness-3/store.hpp
@@ -37,8 +37,15 @@
     /// Writes an item as the operator does. The return is the confirmation.
     void put(const std::string& key, const std::string& value);
 
-    /// The machine whose conditional write was the last one to be executed.
-    std::string last_conditional_writer();
+    /// Makes all answers state the era, as of a store that has drills.
+    void state_era() { this->states_era = true; }
+    /// Keeps a copy of what is stored now.
+    void copy();
+    /// A drill: the store takes no calls for that time and comes back from the copy. What was
+    /// written since is gone, leases too, and the era rises by one. The leases of the copy have
+    /// their whole time from then on.
+    void go_back(milliseconds away);
+    bool has(const std::string& key);
 
 private:
     struct item {
@@ -52,13 +59,21 @@
         steady::time_point until;
     };
 
+    struct contents {
+        std::map<std::string, item> items;
+        std::map<std::uint64_t, lease_state> leases;
+        std::vector<nlohmann::json> history;
+        std::uint64_t revision = 100;
+        std::uint64_t last_lease = 0;
+    };
+
     void handle(const std::string& machine, connection& caller);
     /// False when the call gets no answer.
     bool answer(const std::string& machine, const message& call, connection& caller);
-    std::pair<int, nlohmann::json> execute(const std::string& machine, const message& call);
+    std::pair<int, nlohmann::json> execute(const message& call);
     std::pair<int, nlohmann::json> range(const std::string& target);
     std::pair<int, nlohmann::json> watch(const std::string& target);
-    std::pair<int, nlohmann::json> commit(const std::string& machine, const std::string& body);
+    std::pair<int, nlohmann::json> commit(const std::string& body);
     std::pair<int, nlohmann::json> change_lease(const message& call);
     nlohmann::json row(const std::string& key, const item& stored) const;
     void write(const std::string& key, const std::string& value, std::uint64_t lease);
@@ -68,12 +83,10 @@
     std::mutex guard;
     std::condition_variable changed;
     std::map<std::string, door_state> doors;
-    std::map<std::string, item> items;
-    std::map<std::uint64_t, lease_state> leases;
-    std::vector<nlohmann::json> history;
-    std::uint64_t revision = 100;
-    std::uint64_t last_lease = 0;
-    std::string last_writer;
+    contents now;
+    contents older;
+    std::uint64_t era = 1;
+    bool states_era = false;
 };
 
 } // namespace review
