Acknowledge a departure once the store holds it

Cause: the acknowledgement came from the process's memory. The record went to the store with the next write of the node's entry, under a lease, so a store that turned the node away and a kill after that left no trace of it. Reports that come late and say that their sender drains now count, since they are acknowledged too. Why it works: what is acknowledged is where every later process reads before it takes work.

--- a/src/dispatch/check_in_tracker.cpp
+++ b/src/dispatch/check_in_tracker.cpp
@@ -10,6 +10,20 @@
     this->departed.add(this->latest->id, left_start);
 }
 
+check_in_verdict check_in_tracker::apply_late_draining(const upstream_check_in& report)
+{
+    if (this->latest->id != report.id) {
+        this->departed.add(report.id, report.started_at);
+        return check_in_verdict::outdated;
+    }
+    if (this->latest->started_at == report.started_at) {
+        this->latest->is_draining = true;
+        return check_in_verdict::accepted;
+    }
+    this->withhold(report.started_at);
+    return check_in_verdict::withheld;
+}
+
 check_in_verdict check_in_tracker::apply(const upstream_check_in& report, time_point now)
 {
     if (this->departed.contains(report.id, report.started_at)) {
@@ -21,10 +35,8 @@
         is_start = known.id != report.id || known.started_at != report.started_at;
         const bool is_older =
             is_start ? report.started_at < known.started_at : report.sequence <= known.sequence;
-        const bool is_same_id = known.id == report.id;
-        if (is_older && is_start && is_same_id && report.state == check_in_state::draining) {
-            this->withhold(report.started_at);
-            return check_in_verdict::withheld;
+        if (is_older && report.state == check_in_state::draining) {
+            return this->apply_late_draining(report);
         }
         if (is_older) {
             return check_in_verdict::outdated;
@@ -39,6 +51,9 @@
     next.cold_until = now + report.remaining_cold_start;
     next.sequence = report.sequence;
     next.started_at = report.started_at;
+    if (is_start && this->latest && this->latest->is_draining) {
+        this->departed.add(this->latest->id, this->latest->started_at);
+    }
     this->latest = std::move(next);
     return is_start ? check_in_verdict::started : check_in_verdict::accepted;
 }
--- a/src/dispatch/check_in_tracker.hpp
+++ b/src/dispatch/check_in_tracker.hpp
@@ -85,6 +85,9 @@
     const std::optional<local_upstream>& current() const { return this->latest; }
 
 private:
+    /// Applies a report that is not newer than what is known and says that its sender drains. It is
+    /// acknowledged as every such report, so it counts whatever came before it.
+    check_in_verdict apply_late_draining(const upstream_check_in& report);
     /// Withholds work from the current lifetime, because an earlier start with its id leaves.
     void withhold(std::int64_t left_start);
 
--- a/src/dispatch/departed_lifetimes.cpp
+++ b/src/dispatch/departed_lifetimes.cpp
@@ -22,16 +22,26 @@
         return;
     }
     if (this->starts.size() >= max_lifetimes) {
-        this->starts.erase(std::ranges::min_element(
-            this->starts, {}, &std::pair<const std::string, std::int64_t>::second));
+        this->remove_earliest();
     }
     this->starts[id] = started_at;
 }
 
+void departed_lifetimes::remove_earliest()
+{
+    this->starts.erase(std::ranges::min_element(
+        this->starts, {}, &std::pair<const std::string, std::int64_t>::second));
+}
+
 void departed_lifetimes::add_all(const departed_lifetimes& other)
 {
     for (const auto& [id, started_at] : other.starts) {
-        this->add(id, started_at);
+        const auto [known, is_new] = this->starts.try_emplace(id, started_at);
+        known->second = std::max(known->second, started_at);
+    }
+    // Removed after all were added, so that nodes which merge in another order keep the same ones.
+    while (this->starts.size() > max_lifetimes) {
+        this->remove_earliest();
     }
 }
 
@@ -41,6 +51,13 @@
     return found != this->starts.end() && started_at <= found->second;
 }
 
+bool departed_lifetimes::contains_all(const departed_lifetimes& other) const
+{
+    return std::ranges::all_of(other.starts, [this](const auto& lifetime) {
+        return this->contains(lifetime.first, lifetime.second);
+    });
+}
+
 std::string departed_lifetimes::to_text() const
 {
     // Replaces bytes that are no UTF-8 instead of throwing: one odd id must not keep the others
--- a/src/dispatch/departed_lifetimes.hpp
+++ b/src/dispatch/departed_lifetimes.hpp
@@ -19,6 +19,7 @@
 
     /// Whether this lifetime has left. A later one of the same id has not.
     bool contains(const std::string& id, std::int64_t started_at) const;
+    bool contains_all(const departed_lifetimes& other) const;
     bool is_empty() const { return this->starts.empty(); }
     const std::map<std::string, std::int64_t>& all() const { return this->starts; }
 
@@ -28,6 +29,8 @@
     static departed_lifetimes from_text(const std::string& text);
 
 private:
+    void remove_earliest();
+
     /// Start of the latest lifetime that left, by id.
     std::map<std::string, std::int64_t> starts;
 };
--- a/src/mesh/fleet_view.hpp
+++ b/src/mesh/fleet_view.hpp
@@ -48,8 +48,9 @@
         std::function<void(const std::string& key, const std::string& value)> crash_reported;
         /// An operator asks to evacuate a data centre, or takes the request back.
         std::function<void(const data_centre&, bool is_evacuated)> evacuation_changed;
-        /// The value of this node's own item of departed lifetimes.
-        std::function<void(const std::string& value)> departures_read;
+        /// The record of the departures at the upstream beside a node.
+        std::function<void(const node_id&, const std::string& value, const store_position& at)>
+            departures_read;
         /// Another node has written its entry, so it can be reached again.
         std::function<void(const node_id&)> entry_written;
         std::function<void(const node_id&, const link_message&)> send;
@@ -80,6 +81,11 @@
 
     /// Whether this node has read the fleet's entries from the store or from a node that has.
     bool has_read_store() const { return this->position.revision != 0; }
+    /// The same of the newest era of the store that this node has seen.
+    bool has_read_era() const { return this->has_read_store() && !this->is_behind_era(); }
+    /// Whether the last call to the store succeeded. A node that follows another one makes none,
+    /// and takes it that the store would answer.
+    bool is_store_answering() const { return this->is_reachable || this->followed.has_value(); }
 
     /// Whether the store's era began so long ago that no lease of an earlier one lasts.
     bool is_era_settled() const;
--- a/src/mesh/fleet_view_items.cpp
+++ b/src/mesh/fleet_view_items.cpp
@@ -46,7 +46,8 @@
     }
     else if (item.key == this->keys.departures(this->self.node)) {
         if (!item.is_removed) {
-            this->handlers.departures_read(item.value);
+            this->handlers.departures_read(this->self.node, item.value,
+                                           {this->position.era, item.revision});
         }
     }
     else if (item.key.starts_with(this->keys.crash(""))) {
--- a/src/mesh/link_message.cpp
+++ b/src/mesh/link_message.cpp
@@ -254,6 +254,10 @@
         archive(message.items);
         archive(optional_field{message.era}), archive(optional_field{message.is_whole});
     }
+    else if constexpr (std::is_same_v<type, departure_message>) {
+        archive(message.node), archive(message.departures), archive(message.is_stored);
+        archive(message.era), archive(message.wait);
+    }
     else if constexpr (requires { message.id; }) {
         archive(message.id);
     }
--- a/src/mesh/link_message.hpp
+++ b/src/mesh/link_message.hpp
@@ -193,15 +193,30 @@
     bool is_whole = false;
 };
 
+/// States the departures at the upstream beside a node. The node that saw them tells others, so
+/// that they write them to the store in its place; they answer with the same message once the store
+/// holds them.
+struct departure_message {
+    node_id node;
+    /// See departed_lifetimes::to_text().
+    std::string departures;
+    /// Whether the store of this era holds them.
+    bool is_stored = false;
+    store_era era = 0;
+    /// Time for which the receiver leaves the write to others.
+    std::chrono::milliseconds wait{0};
+};
+
 /// Probe and reply that detect a dead link while traffic is expected on it.
 struct ping_message {};
 struct pong_message {};
 
-using link_message = std::variant<hello_message, reserve_message, release_reservation_message,
-                                  reservation_accepted_message, reservation_declined_message,
-                                  run_message, cancel_message, response_message, failed_message,
-                                  quota_request_message, quota_reply_message, quota_refund_message,
-                                  follow_message, follow_reply_message, ping_message, pong_message>;
+using link_message =
+    std::variant<hello_message, reserve_message, release_reservation_message,
+                 reservation_accepted_message, reservation_declined_message, run_message,
+                 cancel_message, response_message, failed_message, quota_request_message,
+                 quota_reply_message, quota_refund_message, follow_message, follow_reply_message,
+                 ping_message, pong_message, departure_message>;
 
 /// Maximum size of a message on a link: a request body of the default limit of 64 MiB, plus
 /// headers.
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -62,6 +62,7 @@
           this->requests.crashes),
       shared(store),
       registration(loop, store, this->options.keys, this->registration_callbacks()),
+      departures(loop, store, this->options.keys, this->options.node, this->departure_callbacks()),
       crash_reports(loop, store, this->options.keys),
       view(loop, store, this->requests.directory, this->options.configuration_key,
            this->options.keys, this->view_callbacks(std::move(decode))),
@@ -119,8 +120,12 @@
             this->runner.set_evacuated(is_evacuated);
         }
     };
-    functions.departures_read = [this](const std::string& value) {
-        this->runner.restore_departures(departed_lifetimes::from_text(value));
+    functions.departures_read = [this](const node_id& node, const std::string& value,
+                                       const store_position& at) {
+        this->departures.on_stored(node, value, at);
+        if (node == this->options.node) {
+            this->runner.restore_departures(departed_lifetimes::from_text(value));
+        }
     };
     functions.own_entry_lost = [this] { this->registration.on_entry_lost(); };
     functions.send = [this](const node_id& to, const link_message& message) {
@@ -139,7 +144,26 @@
     functions.group_lost = [this](std::size_t group) { this->quota.drop_group(group); };
     functions.live_nodes = [this] { return this->view.serving_nodes(); };
     functions.is_era_settled = [this] { return this->view.is_era_settled(); };
-    functions.era_begun = [this] { this->crash_reports.publish_again(); };
+    functions.era_begun = [this] {
+        this->crash_reports.publish_again();
+        this->departures.begin_era();
+    };
+    return functions;
+}
+
+departure_recorder::callbacks mesh_node::departure_callbacks()
+{
+    departure_recorder::callbacks functions;
+    functions.can_write = [this] {
+        return this->view.has_read_era() && this->view.is_store_answering();
+    };
+    functions.live_nodes = [this] { return this->view.live_nodes(); };
+    functions.is_reachable = [this](const node_id& node) {
+        return !this->requests.selector.is_unreachable(node, boot_clock::now());
+    };
+    functions.send = [this](const node_id& to, const link_message& message) {
+        this->send(to, message);
+    };
     return functions;
 }
 
@@ -340,7 +364,15 @@
 {
     const node_entry own = this->own_entry();
     this->requests.directory.put(own);
-    this->registration.publish(own, this->runner.departures().to_text());
+    this->registration.publish(own);
+    this->departures.publish(this->runner.departures());
+}
+
+std::optional<std::int64_t> mesh_node::departed_start(const std::string& id) const
+{
+    const departed_lifetimes departed = this->runner.departures();
+    const auto found = departed.all().find(id);
+    return found == departed.all().end() ? std::nullopt : std::optional{found->second};
 }
 
 void mesh_node::on_crash_reported(const std::string& key, const std::string& value)
@@ -433,6 +465,9 @@
     else if (const auto* follow_reply = std::get_if<follow_reply_message>(&message)) {
         this->view.receive(from, *follow_reply);
     }
+    else if (const auto* departed = std::get_if<departure_message>(&message)) {
+        this->departures.receive(*departed, from.value, [](const link_message&) {});
+    }
     else {
         this->requests.receive(from, message);
     }
@@ -447,6 +482,9 @@
     else if (const auto* returned = std::get_if<quota_refund_message>(&message)) {
         this->quota.handle_refund(*returned);
     }
+    else if (const auto* departed = std::get_if<departure_message>(&message)) {
+        this->departures.receive(*departed, from.value, reply);
+    }
     else if (const auto* poll = std::get_if<follow_message>(&message)) {
         this->view.note_follower(from, *poll);
         this->feed.poll(from, *poll, reply);
@@ -504,6 +542,7 @@
     this->callers.answer_open_requests();
     this->runner.fail_open_runs();
     this->registration.finish_stop();
+    this->departures.stop();
     this->view.stop();
     this->feed.stop();
     this->links.finish_all();
--- a/src/mesh/mesh_node.hpp
+++ b/src/mesh/mesh_node.hpp
@@ -3,6 +3,7 @@
 #include "mesh/admission.hpp"
 #include "mesh/change_feed.hpp"
 #include "mesh/crash_publisher.hpp"
+#include "mesh/departure_recorder.hpp"
 #include "mesh/dispatcher.hpp"
 #include "mesh/event_loop_http_server.hpp"
 #include "mesh/fleet_view.hpp"
@@ -17,7 +18,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -82,6 +85,19 @@
         return this->runner.deregister_upstream(id, stated_start);
     }
 
+    /// Calls `done` with true once the store holds the departure of this start of the upstream, so
+    /// that it is known after the end of this process; with false when it does not in time. No work
+    /// is sent to a departed upstream whether or not its departure is recorded.
+    void when_departure_recorded(const std::string& id, std::int64_t started_at,
+                                 std::chrono::milliseconds limit,
+                                 departure_recorder::recorded_function done)
+    {
+        this->departures.publish(this->runner.departures());
+        this->departures.when_recorded(id, started_at, limit, std::move(done));
+    }
+    /// The start of the latest lifetime with this id that has left; nothing when there is none.
+    std::optional<std::int64_t> departed_start(const std::string& id) const;
+
     /// Applies the settings that may change while the node runs: the tolerances of quotas and
     /// repeats, the greatest proof age and the duration of a stop. The others need a restart.
     void apply(const mesh_settings& changed);
@@ -104,6 +120,7 @@
     quota_coordinator::callbacks quota_callbacks();
     fleet_view::callbacks view_callbacks(fleet_view::decode_function decode);
     node_registration::callbacks registration_callbacks();
+    departure_recorder::callbacks departure_callbacks();
     node_entry own_entry() const;
     cold_limit cold_limit_of(const service_name& service) const;
     /// A random reachable node other than the holder and this node.
@@ -134,6 +151,7 @@
     upstream_runner runner;
     shared_store& shared;
     node_registration registration;
+    departure_recorder departures;
     crash_publisher crash_reports;
     fleet_view view;
     change_feed feed;
--- a/src/mesh/node_registration.cpp
+++ b/src/mesh/node_registration.cpp
@@ -85,13 +85,12 @@
     this->arm_timer();
 }
 
-void node_registration::publish(const node_entry& own, const std::string& departures)
+void node_registration::publish(const node_entry& own)
 {
-    if (own == this->self && departures == this->departed) {
+    if (own == this->self) {
         return;
     }
     this->self = own;
-    this->departed = departures;
     this->is_entry_written = false;
     this->first_write_at = {};
     this->write_entry();
@@ -126,7 +125,6 @@
                                  static_cast<std::uint64_t>(entry_rewrite_spread.count());
     this->entry_lease.begin_era(now + milliseconds{static_cast<std::int64_t>(spread)});
     this->is_entry_written = false;
-    this->written_departed.clear();
     this->handlers.era_begun();
 }
 
@@ -141,13 +139,7 @@
     const store_lease used = this->entry_lease.id();
     commit_request request;
     request.writes.push_back({this->keys.vm(written.node), written.to_text(), used});
-    // The departures outlast this process, so they are under no lease. They go with the entry,
-    // which changes when the upstream leaves, and cost no call of their own.
-    const std::string departures = this->departed;
-    if (departures != this->written_departed) {
-        request.writes.push_back({this->keys.departures(written.node), departures, 0});
-    }
-    this->store.commit(request, [this, written, used, departures](commit_outcome outcome) {
+    this->store.commit(request, [this, written, used](commit_outcome outcome) {
         this->is_writing_entry = false;
         this->record_commit(outcome);
         this->sync_era();
@@ -155,8 +147,7 @@
             return;
         }
         if (outcome == commit_outcome::committed) {
-            this->written_departed = departures;
-            this->is_entry_written = written == this->self && departures == this->departed;
+            this->is_entry_written = written == this->self;
         }
         else if (outcome == commit_outcome::lease_ended) {
             this->entry_lease.on_ended();
--- a/src/mesh/node_registration.hpp
+++ b/src/mesh/node_registration.hpp
@@ -70,8 +70,8 @@
     /// Writes the entry once its lease is granted, and claims vacant groups. At the first start of
     /// the whole fleet the claims wait until the nodes know each other.
     void start(const node_entry& own, bool is_first_start);
-    /// Writes the entry and the departed lifetimes of the upstream if either has changed.
-    void publish(const node_entry& own, const std::string& departures);
+    /// Writes the entry if it has changed.
+    void publish(const node_entry& own);
     /// Releases the groups and publishes an entry without a service, so that no new work arrives.
     void begin_stop();
     /// Ends the leases, which removes the entry.
@@ -116,9 +116,6 @@
     callbacks handlers;
     boost::asio::steady_timer timer;
     node_entry self;
-    /// Departed lifetimes as they are to be written, and as they are in the store; empty: none.
-    std::string departed;
-    std::string written_departed;
     time_point first_write_at{};
     retry_backoff commit_retry;
     held_lease entry_lease;
--- a/src/mesh/node_registration_groups.cpp
+++ b/src/mesh/node_registration_groups.cpp
@@ -1,7 +1,7 @@
 #include "mesh/node_registration.hpp"
 
 #include "adapters/log.hpp"
-#include "core/digest.hpp"
+#include "dispatch/writer_rank.hpp"
 
 #include <algorithm>
 
@@ -134,12 +134,7 @@
 
 std::size_t node_registration::claim_rank(std::size_t group) const
 {
-    const auto weight = [&](const node_id& node) {
-        return stable_hash(this->keys.group(group) + node.value);
-    };
-    const std::uint64_t own = weight(this->self.node);
-    return static_cast<std::size_t>(std::ranges::count_if(
-        this->handlers.live_nodes(), [&](const node_id& node) { return weight(node) > own; }));
+    return writer_rank(this->keys.group(group), this->self.node, this->handlers.live_nodes());
 }
 
 void node_registration::claim_groups(time_point now)
