Keep a connection through a stop until its started requests are answered

Cause: from the signal on every answer closed its connection, and the runs of the requests behind it were cancelled. Change: during a stop the answer to the last request that was started closes the connection. Nothing further is decoded behind open requests then; the client sends it again. Its bytes are read up to 16 KB, so that the end of the connection is still noticed. Why it works: only what an upstream may have is waited for, and no new request can extend the wait. Test: test_mesh_stop, "a stop answers all pipelined requests that were passed on, and closes after them", failed before (1 of 2, 1 of 6, 1 of 3 and 1 of 2 requests answered) and passes now.

--- a/src/mesh/event_loop_http_server.hpp
+++ b/src/mesh/event_loop_http_server.hpp
@@ -92,7 +92,7 @@
     /// Binds and listens. False when the address cannot be used; see last_failure().
     bool listen(const std::string& address);
 
-    /// Makes each further response close its connection.
+    /// Makes the response to the last request that was started on a connection close it.
     void begin_stop() { this->stopping = true; }
 
     /// Answers all open requests at once, because the process is about to end.
--- a/src/mesh/server_connection.cpp
+++ b/src/mesh/server_connection.cpp
@@ -25,6 +25,10 @@
 /// Bytes of a response that are written before its progress is recorded.
 constexpr std::size_t write_step_bytes = 64U << 10U;
 
+/// Bytes that are read during a stop without being decoded, so that the end of the connection is
+/// noticed. What a pipelining client has sent is below this.
+constexpr std::size_t max_undecoded_bytes = 16U << 10U;
+
 } // namespace
 
 server_connection::server_connection(event_loop_http_server& owner,
@@ -90,7 +94,8 @@
 
 void server_connection::read()
 {
-    if (this->is_closed || this->is_reading || this->pipeline.size() >= max_pipelined_requests) {
+    if (this->is_closed || this->is_reading || this->pipeline.size() >= max_pipelined_requests ||
+        (this->is_finishing() && this->buffer.size() >= max_undecoded_bytes)) {
         return;
     }
     this->is_reading = true;
@@ -123,7 +128,7 @@
 void server_connection::decode()
 {
     while (!this->is_closed && this->accepts_requests && !this->buffer.empty() &&
-           this->pipeline.size() < max_pipelined_requests) {
+           this->pipeline.size() < max_pipelined_requests && !this->is_finishing()) {
         decode_state state = this->decoder.decode(this->buffer);
         const bool is_sound = state == decode_state::incomplete || state == decode_state::complete;
         if (is_sound && (!this->reserve_head() || !this->reserve_body())) {
@@ -226,7 +231,8 @@
             return;
         }
         if (!entry->is_started &&
-            (is_first || this->server.handlers.may_pipeline(entry->request.head))) {
+            (is_first ||
+             (!this->server.stopping && this->server.handlers.may_pipeline(entry->request.head)))) {
             this->start_request(entry);
         }
         else if (!entry->is_started) {
@@ -250,8 +256,7 @@
             if (self == nullptr || self->is_closed || entry->answer) {
                 return;
             }
-            answer.keeps_connection =
-                answer.keeps_connection && keeps_connection && !self->server.stopping;
+            answer.keeps_connection = answer.keeps_connection && keeps_connection;
             self->set_response(entry, std::move(answer));
         });
     if (!entry->answer) {
@@ -273,6 +278,9 @@
         return;
     }
     const request_pointer entry = this->pipeline.front();
+    if (this->server.stopping && !this->is_next_started()) {
+        entry->answer->keeps_connection = false;
+    }
     const bool keeps_connection = entry->answer->keeps_connection;
     const bool has_body = entry->request.head.method != "HEAD";
     this->output = encode_response_head(*entry->answer, entry->request.head.method);
@@ -300,6 +308,16 @@
         });
 }
 
+bool server_connection::is_finishing() const
+{
+    return this->server.stopping && !this->pipeline.empty();
+}
+
+bool server_connection::is_next_started() const
+{
+    return this->pipeline.size() > 1 && this->pipeline[1]->is_started;
+}
+
 void server_connection::on_written(bool keeps_connection)
 {
     if (this->is_closed) {
--- a/src/mesh/server_connection.hpp
+++ b/src/mesh/server_connection.hpp
@@ -67,6 +67,12 @@
     /// Answers without a request that was read completely; the connection closes then.
     void answer_and_close(http_response answer);
     void write();
+    /// Whether the server stops while requests of this connection are open. No others are taken
+    /// then: a client sends what stands behind the last answer again.
+    bool is_finishing() const;
+    /// Whether the request behind the first one may have been passed on to an upstream, so that the
+    /// connection has to stay for its answer.
+    bool is_next_started() const;
     void on_written(bool keeps_connection);
     void shut_down();
     void discard_requests();
--- a/test/error/test_mesh_stop.cpp
+++ b/test/error/test_mesh_stop.cpp
@@ -33,6 +33,31 @@
     return {std::move(near), std::move(far)};
 }
 
+std::size_t count_of(const std::string& text, const std::string& part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+std::string pipelined_requests(const std::vector<std::string>& methods)
+{
+    std::string bytes;
+    for (std::size_t request = 0; request < methods.size(); ++request) {
+        const bool is_read = methods[request] == "GET";
+        bytes += encode_request({methods[request],
+                                 is_read ? "/read/item" : "/submit/item",
+                                 {{"Host", "books.example"},
+                                  {"X-Attempt-Id", "pipelined-" + std::to_string(request)},
+                                  {"X-Deadline-Ms", "4000"},
+                                  {"Api-Key", "first-key"}}},
+                                is_read ? "" : "body");
+    }
+    return bytes;
+}
+
 node_link::callbacks counting_callbacks(std::size_t& received, bool& is_closed)
 {
     return {[&received](node_link&, const link_message& message) {
@@ -178,6 +203,31 @@
     CHECK(served == fleet.total_runs() - runs_before);
 }
 
+// Guards against pipelined requests that are cut off by a planned stop: the answer before them
+// closed the connection, and their runs were cancelled.
+TEST_CASE("a stop answers all pipelined requests that were passed on, and closes after them")
+{
+    const std::vector<std::vector<std::string>> pipelines{
+        {"GET", "GET"},
+        {"GET", "GET", "GET", "GET", "GET", "GET"},
+        {"POST", "GET", "GET"},
+        {"GET", "GET", "POST", "GET"}};
+    for (const auto& methods : pipelines) {
+        CAPTURE(methods.size());
+        mesh_fleet fleet{3};
+        for (loopback_vm& vm : fleet.vms) {
+            vm.upstream->behaviour = upstream_behaviour::answers_late;
+        }
+        const std::string received = fleet.converse(0, pipelined_requests(methods),
+                                                    [&fleet] { fleet.vms[0].node->stop([] {}); });
+        CHECK(fleet.total_runs() >= 2);
+        CHECK(count_of(received, "HTTP/1.1 200") == fleet.total_runs());
+        CHECK(count_of(received, "HTTP/1.1") == fleet.total_runs());
+        CHECK(count_of(received, "Connection: close") == 1);
+        CHECK(received.rfind("Connection: close") > received.rfind("HTTP/1.1"));
+    }
+}
+
 // Guards against responses that are lost when the node beside the upstream ends its stop: closing a
 // socket with unread bytes resets the connection, and the peer loses what is on its way.
 TEST_CASE("a link that finishes delivers what it was given while the peer keeps sending")
--- a/test/support/mesh_fleet.cpp
+++ b/test/support/mesh_fleet.cpp
@@ -4,9 +4,13 @@
 #include "platform/configuration_decoder.hpp"
 #include "test_ports.hpp"
 
+#include <array>
+#include <cstdint>
 #include <utility>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 
 using namespace dragonflyroad;
 
@@ -202,6 +206,27 @@
     return this->vms[vm].callers->start(std::move(request), std::move(done));
 }
 
+std::string mesh_fleet::converse(std::size_t vm, const std::string& bytes,
+                                 const std::function<void()>& then)
+{
+    using tcp = boost::asio::ip::tcp;
+    tcp::socket caller{this->context};
+    const auto port = first_test_port() + static_cast<int>(vm) * ports_per_vm;
+    caller.connect({boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)});
+    boost::asio::write(caller, boost::asio::buffer(bytes));
+    this->run_until([] { return false; }, std::chrono::milliseconds{150});
+    then();
+    caller.non_blocking(true);
+    std::string received;
+    this->run_until([&] {
+        std::array<char, 4096> part{};
+        boost::system::error_code error;
+        received.append(part.data(), caller.read_some(boost::asio::buffer(part), error));
+        return error && error != boost::asio::error::would_block;
+    });
+    return received;
+}
+
 client_exchange_result mesh_fleet::exchange(std::size_t vm, const std::string& method)
 {
     std::optional<client_exchange_result> result;
--- a/test/support/mesh_fleet.hpp
+++ b/test/support/mesh_fleet.hpp
@@ -66,6 +66,11 @@
     start(std::size_t vm, const std::string& method,
           std::function<void(dragonflyroad::client_exchange_result)> done);
 
+    /// Sends bytes to a VM's node on a new connection and calls `then` a moment later. Returns all
+    /// that the node sends until it closes the connection.
+    std::string converse(
+        std::size_t vm, const std::string& bytes, const std::function<void()>& then = [] {});
+
     /// The id of the request that was sent last.
     const std::string& last_request_id() const { return this->last_id; }
 
