Let every node write departures again that the store has lost

Cause: in a new era only the writer of a record wrote it again. The others held the item for 10 s and dropped it. Change: every node puts the records of all nodes into its departure archive. Why it works: a record is lost only with the last process that has read it.

--- a/src/mesh/fleet_view_items.cpp
+++ b/src/mesh/fleet_view_items.cpp
@@ -44,10 +44,11 @@
     else if (item.key.starts_with(this->keys.prefix + "vm/")) {
         this->apply_vm(item);
     }
-    else if (item.key == this->keys.departures(this->self.node)) {
+    else if (item.key.starts_with(this->keys.departures(node_id{}))) {
         if (!item.is_removed) {
-            this->handlers.departures_read(this->self.node, item.value,
-                                           {this->position.era, item.revision});
+            this->handlers.departures_read(
+                node_id{item.key.substr(this->keys.departures(node_id{}).size())}, item.value,
+                {this->position.era, item.revision});
         }
     }
     else if (item.key.starts_with(this->keys.crash(""))) {
--- a/test/error/test_departure_records.cpp
+++ b/test/error/test_departure_records.cpp
@@ -122,3 +122,39 @@
         CHECK(fleet.store.value("dragonflyroad/left/vm-1") == R"({"upstream-1":1000})");
     }
 }
+
+// Guards against a record that is lost when the store goes back to an older copy after the process
+// that wrote it has ended: the next process took the departed upstream for a new one.
+TEST_CASE("a departure that the store has lost is written again by nodes that did not see it")
+{
+    const std::string key = "dragonflyroad/left/vm-1";
+    for (const std::string copied : {"", R"({"earlier":900})"}) {
+        CAPTURE(copied);
+        leaving_fleet fleet{3};
+        fleet.store.begin_eras();
+        fleet.store.put("dragonflyroad/era", "1");
+        if (!copied.empty()) {
+            fleet.store.put(key, copied);
+        }
+        fleet.restart_node(1);
+        fleet.vms[1].store->set_refused(true);
+        fleet.run_for(1s);
+        const auto older = fleet.store.take_copy();
+        // Written by the process that has ended.
+        fleet.store.put(key, R"({"upstream-1":1000})");
+        fleet.run_for(600ms);
+        fleet.store.go_back_to(older);
+        CHECK(fleet.run_until(
+            [&] {
+                return departed_lifetimes::from_text(fleet.store.value(key).value_or(""))
+                    .contains("upstream-1", 1000);
+            },
+            2s));
+        CHECK((fleet.store.value(key).value_or("").find("earlier") != std::string::npos) ==
+              !copied.empty());
+        fleet.vms[1].store->set_refused(false);
+        fleet.run_for(1'500ms);
+        fleet.check_in(1, "ready", 2);
+        CHECK(fleet.runs_after_departure() == 0);
+    }
+}
