Let other nodes write crash reports again that the store has lost

A request that crashes upstreams is known to nodes that start later by its reports only. Cause: reports were written again only by the node that had made them. Change: a report that the store lacks in a new era is written again by any node that knows it, 0.3 s after it has read the era and 0.15 s more for each node before it, unless it is back by then. Entries that are no report are left. Why it works: as for departures; a report that is back is seen by the watch. Test: test_store_era, "a crash report that the store has lost is written again by other nodes", failed on and passes now.

--- a/src/mesh/crash_publisher.cpp
+++ b/src/mesh/crash_publisher.cpp
@@ -4,6 +4,8 @@
 #include "core/digest.hpp"
 #include "core/failure.hpp"
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
@@ -23,6 +25,12 @@
 constexpr std::chrono::milliseconds retry_pause = 500ms;
 constexpr std::chrono::seconds give_up_after = 30s;
 
+/// Delay of the write of a lost report by a node that did not make it, and how much each further
+/// node waits, so that usually one of them writes it.
+constexpr std::chrono::milliseconds lost_report_delay = 300ms;
+constexpr std::chrono::milliseconds delay_per_rank = 150ms;
+constexpr std::size_t last_rank = 6;
+
 /// Number of crashes that are written again in a new era of the store. Each takes two writes.
 constexpr std::size_t max_recent_crashes = 16;
 
@@ -95,12 +103,36 @@
             .add("detail", last_failure().detail);
         return;
     }
-    const auto timer = std::make_shared<boost::asio::steady_timer>(this->context, retry_pause);
+    this->request_lease_after(unwritten, retry_pause);
+}
+
+void crash_publisher::request_lease_after(const std::shared_ptr<entry>& unwritten,
+                                          std::chrono::milliseconds pause)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->context, pause);
     timer->async_wait([this, timer, unwritten](const boost::system::error_code& error) {
-        if (!error) {
+        if (!error && (!unwritten->was_lost || this->lost.contains(unwritten->key))) {
             this->request_lease(unwritten);
         }
     });
 }
 
+void crash_publisher::write_lost(const std::string& key, const std::string& value, std::size_t rank)
+{
+    if (std::ranges::find(this->recent, key, &entry::key) != this->recent.end()) {
+        // publish_again() writes the reports of this node.
+        return;
+    }
+    this->lost.insert(key);
+    const auto unwritten = std::make_shared<entry>();
+    unwritten->key = key;
+    unwritten->value = value;
+    unwritten->was_lost = true;
+    unwritten->published_at = boot_clock::now();
+    unwritten->give_up_at = unwritten->published_at + give_up_after;
+    this->request_lease_after(
+        unwritten,
+        lost_report_delay + delay_per_rank * static_cast<std::int64_t>(std::min(rank, last_rank)));
+}
+
 } // namespace dragonflyroad
--- a/src/mesh/fleet_view.hpp
+++ b/src/mesh/fleet_view.hpp
@@ -46,6 +46,8 @@
         std::function<void()> own_entry_lost;
         /// The value of an entry by which a node reports a crash of its upstream.
         std::function<void(const std::string& key, const std::string& value)> crash_reported;
+        /// The store has lost such an entry with an era, and its writer may have ended.
+        std::function<void(const std::string& key, const std::string& value)> crash_report_lost;
         /// An operator asks to evacuate a data centre, or takes the request back.
         std::function<void(const data_centre&, bool is_evacuated)> evacuation_changed;
         /// The record of the departures at the upstream beside a node.
--- a/src/mesh/fleet_view_eras.cpp
+++ b/src/mesh/fleet_view_eras.cpp
@@ -84,7 +84,10 @@
 {
     const bool is_entry = key.starts_with(this->keys.vm(node_id{}));
     const milliseconds time = is_entry ? unconfirmed_entry_time : unconfirmed_item_time;
-    this->unconfirmed_until.try_emplace(key, boot_clock::now() + time);
+    const bool is_new = this->unconfirmed_until.try_emplace(key, boot_clock::now() + time).second;
+    if (is_new && key.starts_with(this->keys.crash(""))) {
+        this->handlers.crash_report_lost(key, this->items[key].value);
+    }
 }
 
 void fleet_view::drop_unconfirmed()
--- a/src/mesh/http_codec.cpp
+++ b/src/mesh/http_codec.cpp
@@ -85,6 +85,9 @@
     /// takes twenty times their bytes.
     decode_state decode_head(std::string& buffer);
 
+    /// Whether the head was read and does not tell where the body ends.
+    bool has_unknown_end() const;
+
     beast_http::request_parser<beast_http::string_body> parser;
     bool expect_continue_taken = false;
     bool has_bytes = false;
@@ -110,7 +113,18 @@
         this->searched_bytes = buffer.size() - std::min(buffer.size(), head_end.size() - 1);
         return decode_state::incomplete;
     }
-    return feed(this->parser, buffer);
+    const decode_state result = feed(this->parser, buffer);
+    return this->has_unknown_end() ? decode_state::malformed : result;
+}
+
+bool request_decoder::parser_holder::has_unknown_end() const
+{
+    // The parser takes a request whose transfer coding does not end with chunked as one without a
+    // body, and the body would be decoded as the next request.
+    const auto& fields = this->parser.get();
+    return this->parser.is_header_done() &&
+           fields.count(beast_http::field::transfer_encoding) != 0 &&
+           find_framing_fault(copy_headers(fields)).has_value();
 }
 
 request_decoder::request_decoder(std::size_t max_header_bytes, std::size_t max_body_bytes)
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/log.hpp"
 #include "core/failure.hpp"
+#include "dispatch/writer_rank.hpp"
 #include "node/refusal.hpp"
 
 #include <algorithm>
@@ -115,6 +116,12 @@
     functions.crash_reported = [this](const std::string& key, const std::string& value) {
         this->on_crash_reported(key, value);
     };
+    functions.crash_report_lost = [this](const std::string& key, const std::string& value) {
+        if (upstream_crash::from_text(value, key)) {
+            const std::size_t rank = writer_rank(key, this->options.node, this->view.live_nodes());
+            this->crash_reports.write_lost(key, value, rank);
+        }
+    };
     functions.evacuation_changed = [this](const data_centre& centre, bool is_evacuated) {
         if (centre == this->options.centre) {
             this->runner.set_evacuated(is_evacuated);
@@ -382,6 +389,7 @@
         log_line{"crash_entry_rejected"}.add("key", key).add("detail", last_failure().detail);
         return;
     }
+    this->crash_reports.on_stored(key);
     this->requests.crashes.add(*crash, boot_clock::now());
 }
 
--- a/test/error/test_store_era.cpp
+++ b/test/error/test_store_era.cpp
@@ -71,6 +71,26 @@
     CHECK(fleet.run_until([&] { return fleet.version(2) == 2 && fleet.version(0) == 2; }, 2s));
 }
 
+// Guards against a report of a crash that is lost for the nodes that start later: the store has
+// gone back after the end of the process that made it.
+TEST_CASE("a crash report that the store has lost is written again by other nodes")
+{
+    drilled_fleet fleet{3};
+    const auto older = fleet.store.take_copy();
+    const std::string key = "dragonflyroad/crash/1a2b";
+    const std::string report = upstream_crash{"vm-9/i-1", {7, 8}}.to_text();
+    fleet.store.put(key, report, 77);
+    fleet.store.put("dragonflyroad/crash/odd", "\xff no report", 77);
+    fleet.run_for(300ms);
+    fleet.store.go_back_to(older);
+    CHECK(fleet.run_until([&] { return fleet.store.value(key) == report; }, 2s));
+    const std::size_t commits = fleet.store.commits();
+    fleet.run_for(1'500ms);
+    // Only the era's mark is written then, not the report by each node.
+    CHECK(fleet.store.commits() <= commits + 3);
+    CHECK_FALSE(fleet.store.value("dragonflyroad/crash/odd").has_value());
+}
+
 // Guards against a configuration that regresses: the copy holds the one before.
 TEST_CASE("a configuration in force stays when the store comes back with an older one")
 {
