--- a/src/adapters/http_message.cpp
+++ b/src/adapters/http_message.cpp
@@ -77,27 +77,6 @@
     return std::nullopt;
 }
 
-std::optional<std::string> find_framing_fault(const http_headers& headers)
-{
-    const std::size_t lengths = count_headers(headers, "Content-Length");
-    const std::size_t encodings = count_headers(headers, "Transfer-Encoding");
-    if (lengths > 1) {
-        return "Content-Length is repeated";
-    }
-    if (lengths == 1 && encodings > 0) {
-        return "Content-Length and Transfer-Encoding are both present";
-    }
-    if (lengths == 1 && !parse_content_length(*find_header(headers, "Content-Length"))) {
-        return "Content-Length is not a number";
-    }
-    if (encodings > 1 ||
-        (encodings == 1 &&
-         !equal_ignoring_case(*find_header(headers, "Transfer-Encoding"), "chunked"))) {
-        return "Transfer-Encoding is not chunked";
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 std::string lower_case(std::string_view text)
@@ -211,6 +190,27 @@
     return find_framing_fault(head.headers);
 }
 
+std::optional<std::string> find_framing_fault(const http_headers& headers)
+{
+    const std::size_t lengths = count_headers(headers, "Content-Length");
+    const std::size_t encodings = count_headers(headers, "Transfer-Encoding");
+    if (lengths > 1) {
+        return "Content-Length is repeated";
+    }
+    if (lengths == 1 && encodings > 0) {
+        return "Content-Length and Transfer-Encoding are both present";
+    }
+    if (lengths == 1 && !parse_content_length(*find_header(headers, "Content-Length"))) {
+        return "Content-Length is not a number";
+    }
+    if (encodings > 1 ||
+        (encodings == 1 &&
+         !equal_ignoring_case(*find_header(headers, "Transfer-Encoding"), "chunked"))) {
+        return "Transfer-Encoding is not chunked";
+    }
+    return std::nullopt;
+}
+
 std::string_view status_phrase(int status)
 {
     static constexpr std::array<std::pair<int, std::string_view>, 40> phrases{
--- a/src/adapters/http_message.hpp
+++ b/src/adapters/http_message.hpp
@@ -62,6 +62,11 @@
 /// nothing if the head is well formed and its framing is unambiguous.
 std::optional<std::string> find_request_head_error(const request_head& head);
 
+/// What leaves the end of a request's body unknown, if anything: a repeated or invalid length, a
+/// length beside a transfer coding, or a coding other than chunked. Nothing that follows such a
+/// head on its connection can be told from the body.
+std::optional<std::string> find_framing_fault(const http_headers& headers);
+
 /// The standard reason phrase of a status code, or "Status" for an unlisted one.
 std::string_view status_phrase(int status);
 
