Keep a lifetime drained once it has said so

A ready report with a later sequence took back a departure that had been acknowledged, while the record in the store kept it, so the next process of the node would refuse what this one accepted. Cause: the state was taken from the latest report alone. Change: draining is final for a lifetime; a restarted one is another lifetime. Test: test_dispatch, "a report that its sender drains counts whatever came before or comes after it"; not run without the change.

--- a/src/dispatch/check_in_tracker.cpp
+++ b/src/dispatch/check_in_tracker.cpp
@@ -47,7 +47,9 @@
     next.address = report.address;
     next.service = report.service;
     next.slots = report.slots;
-    next.is_draining = report.state == check_in_state::draining;
+    // A lifetime that has said that it drains stays departed: that was acknowledged.
+    next.is_draining = report.state == check_in_state::draining ||
+                       (!is_start && this->latest && this->latest->is_draining);
     next.cold_until = now + report.remaining_cold_start;
     next.sequence = report.sequence;
     next.started_at = report.started_at;
--- a/test/correctness/test_dispatch.cpp
+++ b/test/correctness/test_dispatch.cpp
@@ -97,6 +97,28 @@
     CHECK_FALSE(reports.current()->is_withheld);
 }
 
+// Guards against acknowledged departures that take no effect, since the report came behind another
+// one, and against those that are forgotten when another lifetime checks in.
+TEST_CASE("a report that its sender drains counts whatever came before or comes after it")
+{
+    check_in_tracker reports;
+    reports.apply(make_report(40, 2000), start);
+    upstream_check_in draining = make_report(39, 2000);
+    draining.state = check_in_state::draining;
+    CHECK(reports.apply(draining, start) == check_in_verdict::accepted);
+    CHECK(reports.current()->is_draining);
+    CHECK(reports.apply(make_report(41, 2000), start) == check_in_verdict::accepted);
+    CHECK(reports.current()->is_draining);
+    CHECK(reports.apply(make_report(1, 3000), start) == check_in_verdict::started);
+    CHECK_FALSE(reports.current()->is_draining);
+    CHECK(reports.departures().contains("first", 2000));
+    draining = make_report(7, 1500);
+    draining.id = "former";
+    draining.state = check_in_state::draining;
+    CHECK(reports.apply(draining, start) == check_in_verdict::outdated);
+    CHECK(reports.departures().contains("former", 1500));
+}
+
 // Guards against an upstream that fails every request at once and so attracts all traffic, because
 // its slots are always free.
 TEST_CASE("one failure makes an upstream cost more than a short wait at another one")
