Let no record hold up the others, and take departures from their node only

Change: the record that is due first is written first, and one that failed is due again after the pause; a message whose departures are neither the sender's nor the receiver's own is rejected and logged; others are told of each new departure at once. One answer is kept for a node that asks again. Test: test_departure_records, "a departure of a node is taken from that node only"; not run without the change.

--- a/src/mesh/departure_recorder.cpp
+++ b/src/mesh/departure_recorder.cpp
@@ -51,9 +51,8 @@
 void departure_recorder::publish(const departed_lifetimes& departures)
 {
     this->sync_era();
-    const bool was_lacking = this->archive.lacks(this->self);
-    this->archive.learn(this->self, departures);
-    if (!was_lacking && this->archive.lacks(this->self)) {
+    if (!this->archive.known(this->self).contains_all(departures)) {
+        this->archive.learn(this->self, departures);
         this->told.clear();
         this->tell_others();
     }
@@ -81,10 +80,17 @@
     this->update();
 }
 
-void departure_recorder::receive(const departure_message& message, const std::string& peer,
+void departure_recorder::receive(const node_id& from, const departure_message& message,
                                  reply_function reply)
 {
-    this->store.learn_era(message.era, peer);
+    if (message.node != from && message.node != this->self) {
+        log_line{"departure_message_rejected"}
+            .add("peer", from.value)
+            .add("node_bytes", message.node.value.size())
+            .add("detail", "a node states its own departures, or answers with the receiver's");
+        return;
+    }
+    this->store.learn_era(message.era, from.value);
     this->sync_era();
     const departed_lifetimes stated = departed_lifetimes::from_text(message.departures);
     if (message.is_stored && message.era == this->era.value_or(0)) {
@@ -98,7 +104,7 @@
         const auto [entry, is_new] =
             this->pending.try_emplace(message.node, pending_record{now + message.wait, {}});
         entry->second.due = std::min(entry->second.due, now + message.wait);
-        entry->second.askers.push_back(std::move(reply));
+        entry->second.answer = std::move(reply);
     }
     else if (!message.is_stored) {
         reply(this->message_of(message.node, true));
@@ -152,8 +158,8 @@
             continue;
         }
         this->pending.erase(node);
-        for (const reply_function& reply : entry.askers) {
-            reply(this->message_of(node, true));
+        if (entry.answer) {
+            entry.answer(this->message_of(node, true));
         }
         if (node == this->self) {
             for (const node_id& other : std::exchange(this->told, {})) {
@@ -233,17 +239,28 @@
     if (this->is_calling_store || !this->retry.is_due(now)) {
         return;
     }
-    for (const auto& [node, entry] : this->pending) {
-        if (now >= entry.due) {
-            if (this->archive.revision(node)) {
-                this->write(node);
-            }
-            else {
-                this->read(node);
-            }
-            return;
-        }
+    const auto first = std::ranges::min_element(this->pending, {},
+                                                [](const auto& item) { return item.second.due; });
+    if (first == this->pending.end() || now < first->second.due) {
+        return;
     }
+    const node_id node = first->first;
+    if (this->archive.revision(node)) {
+        this->write(node);
+    }
+    else {
+        this->read(node);
+    }
+}
+
+void departure_recorder::on_call_failed(const node_id& node)
+{
+    this->retry.record_failure(boot_clock::now());
+    // The others come first then: the store may reject only this record.
+    if (const auto found = this->pending.find(node); found != this->pending.end()) {
+        found->second.due = this->retry.next();
+    }
+    this->update();
 }
 
 void departure_recorder::write(const node_id& node)
@@ -277,7 +294,8 @@
         return;
     }
     else {
-        this->retry.record_failure(boot_clock::now());
+        this->on_call_failed(node);
+        return;
     }
     this->update();
 }
@@ -291,8 +309,7 @@
                          this->is_calling_store = false;
                          this->sync_era();
                          if (!range || range->era != this->era.value_or(0)) {
-                             this->retry.record_failure(boot_clock::now());
-                             this->update();
+                             this->on_call_failed(node);
                              return;
                          }
                          const auto found = std::ranges::find(range->items, key, &stored_item::key);
--- a/src/mesh/departure_recorder.hpp
+++ b/src/mesh/departure_recorder.hpp
@@ -13,7 +13,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -57,8 +56,9 @@
     /// Handles the record of a node as it was read from the store.
     void on_stored(const node_id& node, const std::string& value, const store_position& at);
 
-    /// Handles the departures that another node has seen or written; `reply` reaches that node.
-    void receive(const departure_message& message, const std::string& peer, reply_function reply);
+    /// Handles the departures that a node has seen, or that it has written for this one; `reply`
+    /// reaches that node.
+    void receive(const node_id& from, const departure_message& message, reply_function reply);
 
     /// The store has begun another era, so it may have lost records.
     void begin_era();
@@ -69,8 +69,8 @@
 private:
     struct pending_record {
         time_point due{};
-        /// Whom to tell that the store holds the record.
-        std::vector<reply_function> askers;
+        /// Tells the node that has asked for it that the store holds the record.
+        reply_function answer;
     };
 
     struct waiting_call {
@@ -92,6 +92,8 @@
     void write_due(time_point now);
     void write(const node_id& node);
     void read(const node_id& node);
+    /// Schedules the record again after a call that failed or has no known outcome.
+    void on_call_failed(const node_id& node);
     void on_written(const node_id& node, const departed_lifetimes& written, commit_outcome outcome);
     void arm_timer();
 
--- a/src/mesh/mesh_node.cpp
+++ b/src/mesh/mesh_node.cpp
@@ -474,7 +474,7 @@
         this->view.receive(from, *follow_reply);
     }
     else if (const auto* departed = std::get_if<departure_message>(&message)) {
-        this->departures.receive(*departed, from.value, [](const link_message&) {});
+        this->departures.receive(from, *departed, [](const link_message&) {});
     }
     else {
         this->requests.receive(from, message);
@@ -491,7 +491,7 @@
         this->quota.handle_refund(*returned);
     }
     else if (const auto* departed = std::get_if<departure_message>(&message)) {
-        this->departures.receive(*departed, from.value, reply);
+        this->departures.receive(from, *departed, reply);
     }
     else if (const auto* poll = std::get_if<follow_message>(&message)) {
         this->view.note_follower(from, *poll);
--- a/test/error/test_departure_records.cpp
+++ b/test/error/test_departure_records.cpp
@@ -1,3 +1,4 @@
+#include "mesh/departure_recorder.hpp"
 #include "platform/check_in.hpp"
 #include "test/support/mesh_fleet.hpp"
 #include "test/support/test_ports.hpp"
@@ -6,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -158,3 +160,22 @@
         CHECK(fleet.runs_after_departure() == 0);
     }
 }
+
+// Guards against records that a node writes in the name of another one.
+TEST_CASE("a departure of a node is taken from that node only")
+{
+    leaving_fleet fleet{2};
+    boost::asio::io_context& loop = fleet.context;
+    departure_recorder::callbacks functions;
+    functions.can_write = [] { return true; };
+    functions.live_nodes = [] { return std::vector<node_id>{}; };
+    functions.is_reachable = [](const node_id&) { return true; };
+    functions.send = [](const node_id&, const link_message&) {};
+    departure_recorder recorder{loop, fleet.store, fleet_keys{}, node_id{"vm-9"}, functions};
+    const auto reply = [](const link_message&) {};
+    recorder.receive(node_id{"vm-7"}, {node_id{"vm-8"}, R"({"i-1":5})", false, 0, 0ms}, reply);
+    recorder.receive(node_id{"vm-7"}, {node_id{"vm-7"}, R"({"i-1":5})", false, 0, 0ms}, reply);
+    fleet.run_for(300ms);
+    CHECK(fleet.store.value("dragonflyroad/left/vm-7") == R"({"i-1":5})");
+    CHECK_FALSE(fleet.store.value("dragonflyroad/left/vm-8").has_value());
+}
