Withhold work after a departure of unknown start until a second report

Cause: a deregistration states no start. A process that had just started knew no report of the lifetime and recorded the start 0, so a check-in that came seconds late counted as one of a restarted upstream. Change: the first report of a start under an id that left with an unknown start gets no work until the next one; also when the record is read after it. Why it works: a late report comes alone, a live upstream reports every 1.5 s.

--- a/src/dispatch/check_in_tracker.cpp
+++ b/src/dispatch/check_in_tracker.cpp
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace dragonflyroad {
+namespace {
+
+/// Recorded for a lifetime that left without stating its start while this process did not know it.
+constexpr std::int64_t unstated_start = 0;
+
+} // namespace
 
 void check_in_tracker::withhold(std::int64_t left_start)
 {
@@ -10,6 +16,12 @@
     this->departed.add(this->latest->id, left_start);
 }
 
+bool check_in_tracker::has_left_unstated(const std::string& id) const
+{
+    const auto found = this->departed.all().find(id);
+    return found != this->departed.all().end() && found->second == unstated_start;
+}
+
 check_in_verdict check_in_tracker::apply_late_draining(const upstream_check_in& report)
 {
     if (this->latest->id != report.id) {
@@ -53,6 +65,7 @@
     next.cold_until = now + report.remaining_cold_start;
     next.sequence = report.sequence;
     next.started_at = report.started_at;
+    next.is_withheld = is_start && this->has_left_unstated(report.id);
     if (is_start && this->latest && this->latest->is_draining) {
         this->departed.add(this->latest->id, this->latest->started_at);
     }
@@ -68,10 +81,11 @@
     const bool is_current =
         this->latest && this->latest->id == id &&
         stated_start.value_or(this->latest->started_at) >= this->latest->started_at;
-    // A lifetime other than the current one is recorded as well. A start that is not stated is
-    // recorded as 0: reports of a restarted upstream, which state a later start, must be accepted.
-    const std::int64_t known_start = is_current ? this->latest->started_at : 0;
-    this->departed.add(id, std::max(known_start, stated_start.value_or(0)));
+    // A lifetime other than the current one is recorded as well. Where its start is not known,
+    // reports of a later start are accepted, since the upstream may have restarted under its id;
+    // see has_left_unstated().
+    const std::int64_t known_start = is_current ? this->latest->started_at : unstated_start;
+    this->departed.add(id, std::max(known_start, stated_start.value_or(unstated_start)));
     if (is_current) {
         this->latest.reset();
     }
@@ -105,6 +119,10 @@
             is_discarded = true;
         }
         this->departed.add(id, started_at);
+        if (this->latest && this->latest->id == id && this->has_left_unstated(id)) {
+            this->latest->is_withheld = true;
+            is_discarded = true;
+        }
     }
     return is_discarded;
 }
--- a/src/dispatch/check_in_tracker.hpp
+++ b/src/dispatch/check_in_tracker.hpp
@@ -37,8 +37,8 @@
     service_name service;
     std::uint32_t slots = 1;
     bool is_draining = false;
-    /// An earlier start with this id says that it leaves. It may be the present process, after its
-    /// clock was set back, so no work is sent until this start reports again.
+    /// An earlier start with this id says that it leaves, or one of unknown start has left. It may
+    /// be the present process, so no work is sent until this start reports again.
     bool is_withheld = false;
     time_point cold_until{};
     std::int64_t sequence = 0;
@@ -79,7 +79,8 @@
     departed_lifetimes departures() const;
 
     /// Takes over what an earlier process of this node has recorded. True when the current lifetime
-    /// turns out to have left, so that it is no longer current.
+    /// turns out to have left, so that it is no longer current, or may have left, so that it gets
+    /// no work until it reports again.
     bool restore(const departed_lifetimes& recorded);
 
     const std::optional<local_upstream>& current() const { return this->latest; }
@@ -88,6 +89,10 @@
     /// Applies a report that is not newer than what is known and says that its sender drains. It is
     /// acknowledged as every such report, so it counts whatever came before it.
     check_in_verdict apply_late_draining(const upstream_check_in& report);
+    /// Whether a lifetime with this id has left whose start is not known. The first report of a
+    /// start under the id may then be a late one of that lifetime, so the start gets no work until
+    /// it reports again.
+    bool has_left_unstated(const std::string& id) const;
     /// Withholds work from the current lifetime, because an earlier start with its id leaves.
     void withhold(std::int64_t left_start);
 
--- a/test/correctness/test_dispatch.cpp
+++ b/test/correctness/test_dispatch.cpp
@@ -61,6 +61,27 @@
     CHECK_FALSE(reports.current().has_value());
 }
 
+// Guards against a departed upstream that a late report brings back: it deregistered without
+// stating its start at a process that had just started and had no report of it (DRAIN on
+// ctmp-mesh-grown, hunt 4b3a1da7).
+TEST_CASE("after a deregistration of an unknown start one report alone brings no work")
+{
+    check_in_tracker reports;
+    CHECK_FALSE(reports.record_deregistration("first"));
+    CHECK(reports.apply(make_report(15, 1000), start) == check_in_verdict::started);
+    CHECK(reports.current()->is_withheld);
+    CHECK(reports.apply(make_report(15, 1000), start) == check_in_verdict::outdated);
+    CHECK(reports.current()->is_withheld);
+    check_in_tracker next_process;
+    next_process.apply(make_report(15, 1000), start);
+    CHECK(next_process.restore(reports.departures()));
+    CHECK(next_process.current()->is_withheld);
+    CHECK(reports.apply(make_report(16, 1000), start) == check_in_verdict::accepted);
+    CHECK_FALSE(reports.current()->is_withheld);
+    CHECK(reports.record_deregistration("first"));
+    CHECK(reports.apply(make_report(17, 1000), start) == check_in_verdict::outdated);
+}
+
 // Guards against ignoring a restarted upstream, which keeps its id and numbers its reports from one
 // again, and against a report of an earlier run that replaces one of a later run.
 TEST_CASE("the report with the later start time wins at any sequence number")
